Carry a request from caller to engine and back, as separate processes

Cause: nothing ran yet. Ruled out: the HTTP client library's own connection pool, because it may resend a request on a reused connection; connections are our own and a request is written once. Found on the way: on a fresh deployment only the owner of a cold back end's ramp could use it, so a request at any other node waited until its deadline (seen: not_run after 30.0 s). Owners now lend slots to other nodes by permit. Before: a chat through a node that owned no engine expired.

--- /dev/null
+++ b/pimentoway/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Back ends, a peer: model engines and application services."""
--- /dev/null
+++ b/pimentoway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers, a peer: the HTTP interface that takes their requests."""
--- /dev/null
+++ b/pimentoway/core/metric.py
@@ -0,0 +1,66 @@
+"""The metrics of a node, with their units in their names."""
+
+import prometheus_client
+
+REQUESTS = prometheus_client.Counter(
+    'pimentoway_requests',
+    'Requests by tier and outcome.',
+    ['tier', 'outcome'],
+)
+
+GOODPUT_TOKENS = prometheus_client.Counter(
+    'pimentoway_goodput_tokens',
+    'Tokens of answers that came whole within their deadline.',
+    ['tier'],
+)
+
+PREFILL_TOKENS = prometheus_client.Counter(
+    'pimentoway_prefill_tokens',
+    'Prompt tokens dispatched to engines, by whether the cache held them.',
+    ['cached'],
+)
+
+WASTED_PREFILL_TOKENS = prometheus_client.Counter(
+    'pimentoway_wasted_prefill_tokens',
+    'Prompt tokens of requests whose answers were of no use.',
+)
+
+QUEUE_SECONDS = prometheus_client.Histogram(
+    'pimentoway_queue_seconds',
+    'Time from arrival to dispatch.',
+    ['tier'],
+)
+
+FIRST_PIECE_SECONDS = prometheus_client.Histogram(
+    'pimentoway_first_token_seconds',
+    'Time from arrival to the first piece of the answer.',
+    ['tier'],
+)
+
+PLATFORM_CALLS = prometheus_client.Counter(
+    'pimentoway_platform_calls',
+    'Calls to the platform.',
+    ['method'],
+)
+
+CONTROL_BYTES = prometheus_client.Counter(
+    'pimentoway_control_bytes',
+    'Bytes exchanged with other nodes, and in reports of back ends.',
+    ['channel', 'direction'],
+)
+
+CONFIGURATION_VERSION = prometheus_client.Gauge(
+    'pimentoway_configuration_version',
+    'The version of the configuration that the node runs.',
+)
+
+LIVE_NODES = prometheus_client.Gauge(
+    'pimentoway_live_nodes',
+    'The nodes that count as live.',
+)
+
+BACKEND_SLOTS = prometheus_client.Gauge(
+    'pimentoway_backend_slots',
+    'The learnt limit of a back end.',
+    ['backend'],
+)
--- /dev/null
+++ b/pimentoway/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Other entry processes, a peer: membership, gossip and calls."""
--- /dev/null
+++ b/pimentoway/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators, a peer: status, metrics and orders over HTTP."""
--- /dev/null
+++ b/pimentoway/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions over requests and back ends, free of protocols."""
--- /dev/null
+++ b/pimentoway/ops/route.py
@@ -0,0 +1,223 @@
+"""The choice of a back end for a request.
+
+Among the back ends that may take the request, those of the node's own failure
+domain go first. Of these the one with the least expected time wins: the wait
+behind its load, the prefill that its cache does not save, and the answer at
+its pace.
+"""
+
+import dataclasses
+
+import xxhash
+
+from pimentoway.core import clock, configuration, index, request
+from pimentoway.ops import fleet, prefix, ramp
+
+#: Seconds of prefill a token before an engine's speed is known.
+PREFILL_SECONDS = 0.0004
+
+#: Seconds between tokens before an engine's speed is known.
+GAP_SECONDS = 0.02
+
+#: The cache hit assumed at the engine that rendezvous hashing prefers.
+PREFERRED_HIT = 0.5
+
+#: Seconds after which a report says nothing any more.
+REPORT_SECONDS = 10
+
+#: The resolution of a version's share.
+SHARE_STEPS = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """Where a node stands, for the choice of back ends.
+
+    Attributes:
+        node: The name of the node.
+        zone: Its failure domain.
+        nodes: The live nodes that share the back ends of the domain.
+        owned: The names of back ends whose ramp this node owns.
+        closed_zones: The failure domains that take no new work.
+    """
+
+    node: str
+    zone: str
+    nodes: int
+    owned: frozenset[str]
+    closed_zones: frozenset[str]
+
+
+def order_versions(
+    versions: tuple[configuration.Version, ...], request_id: str
+) -> list[str]:
+    """Order a pool's versions for one request.
+
+    The first is decided by a hash of the request, so that shares are exact
+    without any agreement between nodes. The versions with the larger shares
+    follow, for the case that the first has no back end; a version without a
+    share is never used.
+
+    Args:
+        versions: The versions of the pool.
+        request_id: The identifier of the request.
+
+    Returns:
+        The names of the versions, the preferred one first.
+    """
+    total = sum(version.share for version in versions)
+    if total <= 0:
+        return []
+    point = xxhash.xxh3_64_intdigest(request_id.encode()) % SHARE_STEPS
+    position = point / SHARE_STEPS * total
+    chosen = versions[-1]
+    for version in versions:
+        position -= version.share
+        if position < 0:
+            chosen = version
+            break
+    largest = max(versions, key=_read_share)
+    names = [chosen.name]
+    if largest.name != chosen.name:
+        names.append(largest.name)
+    return names
+
+
+def is_open(state: fleet.BackendState, site: Site) -> bool:
+    """Tell whether a back end takes new work at all.
+
+    Args:
+        state: The back end.
+        site: Where the node stands.
+
+    Returns:
+        Whether it is neither leaving, nor taken out, nor out of reach.
+    """
+    if state.backend.leaving or state.health.draining:
+        return False
+    if state.backend.zone in site.closed_zones:
+        return False
+    return clock.read_monotonic() >= state.health.closed_until
+
+
+def count_free_slots(state: fleet.BackendState, site: Site) -> int:
+    """Count the requests that this node may add to a back end.
+
+    Args:
+        state: The back end.
+        site: Where the node stands.
+
+    Returns:
+        The free slots.
+    """
+    slots = int(state.limit.slots) - len(state.inflight)
+    if state.ramp.phase is ramp.Phase.warm:
+        return slots
+    owned = state.backend.name in site.owned
+    if fleet.needs_permit(state, owned, site.nodes):
+        return min(slots, len(state.permits))
+    share = state.ramp.share_slots(owned, site.nodes)
+    return min(slots, share - len(state.inflight) - fleet.count_lent(state))
+
+
+def group_candidates(
+    view: index.Index,
+    states: fleet.Fleet,
+    site: Site,
+    entry: request.Request,
+) -> list[list[fleet.BackendState]]:
+    """Group the back ends that may take a request, free or not, by version.
+
+    Args:
+        view: The configuration in force.
+        states: The back ends.
+        site: Where the node stands.
+        entry: The request.
+
+    Returns:
+        The open back ends of each version, the preferred version first.
+    """
+    pool = entry.service.pool
+    versions = view.versions_by_pool.get(pool, ())
+    members = [
+        states.by_name[backend.name]
+        for backend in view.backends_by_pool.get(pool, ())
+        if is_open(states.by_name[backend.name], site)
+    ]
+    return [
+        [state for state in members if state.backend.version == name]
+        for name in order_versions(versions, entry.request_id)
+    ]
+
+
+def choose_backend(
+    candidates: list[fleet.BackendState],
+    site: Site,
+    entry: request.Request,
+) -> fleet.BackendState | None:
+    """Choose the back end with the least expected time.
+
+    Args:
+        candidates: The back ends that may take the request.
+        site: Where the node stands.
+        entry: The request.
+
+    Returns:
+        The back end, or nothing if none has a free slot.
+    """
+    free = [state for state in candidates if count_free_slots(state, site) > 0]
+    local = [state for state in free if state.backend.zone == site.zone]
+    choices = local or free
+    if not choices:
+        return None
+    preferred = _find_preferred(candidates, entry)
+    return min(
+        choices,
+        key=lambda state: estimate_seconds(
+            state,
+            entry,
+            preferred=state.backend.name == preferred,
+        ),
+    )
+
+
+def estimate_seconds(
+    state: fleet.BackendState, entry: request.Request, preferred: bool
+) -> float:
+    """Estimate the time until a back end has answered a request.
+
+    Args:
+        state: The back end.
+        entry: The request.
+        preferred: Whether rendezvous hashing prefers the back end.
+
+    Returns:
+        The expected seconds.
+    """
+    gap = state.limit.pace or GAP_SECONDS
+    hit = state.prefixes.match(entry.prefixes)
+    if preferred:
+        hit = max(hit, PREFERRED_HIT)
+    prefill = entry.prompt_tokens * PREFILL_SECONDS * (1 - hit)
+    load = len(state.inflight) / max(state.limit.slots, 1)
+    if state.report and _is_fresh(state):
+        load += state.report.waiting / max(state.limit.slots, 1)
+    return (prefill + entry.output_tokens * gap) * (1 + load)
+
+
+def _find_preferred(
+    candidates: list[fleet.BackendState], entry: request.Request
+) -> str:
+    if not entry.prefixes:
+        return ''
+    names = [state.backend.name for state in candidates]
+    return prefix.rank_rendezvous(entry.prefixes[0], names)[0]
+
+
+def _is_fresh(state: fleet.BackendState) -> bool:
+    age = clock.read_monotonic() - state.report_time
+    return age < REPORT_SECONDS
+
+
+def _read_share(version: configuration.Version) -> float:
+    return version.share
--- /dev/null
+++ b/pimentoway/parser/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of settings and declarations in INI form."""
--- /dev/null
+++ b/pimentoway/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demo."""
--- /dev/null
+++ b/pimentoway/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: the command line, the demo and the benchmarks."""
--- /dev/null
+++ b/pimentoway/tools/launch.py
@@ -0,0 +1,38 @@
+"""The entry points of the programs.
+
+The standard library is made cooperative before anything else is imported.
+"""
+
+import importlib
+
+from gevent import monkey
+
+
+def main() -> int:
+    """Run the command line of the system.
+
+    Returns:
+        The exit status.
+    """
+    monkey.patch_all()
+    return importlib.import_module('pimentoway.tools.command').run()
+
+
+def main_standin() -> int:
+    """Run the command line of the stand-ins.
+
+    Returns:
+        The exit status.
+    """
+    monkey.patch_all()
+    return importlib.import_module('pimentoway.tools.standin').run()
+
+
+def main_demo() -> int:
+    """Run the demo.
+
+    Returns:
+        The exit status.
+    """
+    monkey.patch_all()
+    return importlib.import_module('pimentoway.tools.demo').run()
--- /dev/null
+++ b/pimentoway/tools/node.py
@@ -0,0 +1,486 @@
+"""An entry node: all its parts, connected.
+
+The peers come from outside, so that tests connect the same parts to fakes.
+"""
+
+import dataclasses
+import functools
+import random
+
+import gevent
+import xxhash
+
+from pimentoway.backends import exchange, poll
+from pimentoway.callers import app as callers_app
+from pimentoway.core import (
+    clock,
+    connection,
+    error,
+    evidence,
+    index,
+    log,
+    metric,
+    trace,
+)
+from pimentoway.nodes import gossip, member, message
+from pimentoway.ops import (
+    claim,
+    dispatch,
+    fleet,
+    keeper,
+    once,
+    permit,
+    prefix,
+    scheduler,
+)
+from pimentoway.parser import setting
+from pimentoway.platform import feed, store
+
+#: The nodes of a failure domain that hold a watch.
+WATCHERS = 2
+
+#: Seconds between exchanges of all that is known with a random member.
+SYNC_SECONDS = 120
+
+#: Seconds between exchanges while the node knows no other or nothing.
+JOIN_SECONDS = 2
+
+#: Seconds between looks at the platform's list of machines.
+MACHINES_SECONDS = 30
+
+#: Seconds between checks of whether a draining node has finished.
+DRAIN_CHECK_SECONDS = 0.1
+
+_LOG = log.Log('node')
+
+
+@dataclasses.dataclass(frozen=True)
+class Peers:
+    """The peers of a node.
+
+    Attributes:
+        objects: The platform's object service.
+        transport: Carries gossip.
+        calls: Makes calls to other nodes.
+    """
+
+    objects: store.Store
+    transport: gossip.Transport
+    calls: object
+
+
+class Node:
+    """An entry node.
+
+    Attributes:
+        settings: Its settings.
+        plan: The scheduler.
+        held: The configuration that it holds.
+        members: The members that it knows.
+        desk: What the callers' interface needs.
+        leaving: Whether it shuts down.
+    """
+
+    def __init__(
+        self, settings: setting.Settings, peers: Peers, link: exchange.Link
+    ) -> None:
+        """Connect the parts.
+
+        Args:
+            settings: The settings.
+            peers: The peers.
+            link: How to reach the back ends; its reports come here.
+        """
+        self.settings = settings
+        self.leaving = False
+        self.peers = peers
+        identity = scheduler.Identity(settings.name, settings.zone)
+        self.plan = scheduler.Scheduler(
+            identity,
+            self.announce,
+            settings.queue_tokens,
+        )
+        self.held = keeper.Keeper(self._follow_view)
+        self.members = member.MemberTable(
+            _make_member(settings),
+            self._follow_members,
+        )
+        self.gossiper = gossip.Gossiper(
+            self.members,
+            peers.transport,
+            self.note_sign,
+            settings.peers,
+        )
+        self.link = dataclasses.replace(link, note_report=self.note_report)
+        self.tracer = trace.Tracer(settings.name, settings.endpoint)
+        self.dispatcher = dispatch.Dispatcher(
+            self.plan,
+            self.link,
+            self.tracer,
+            self.announce,
+        )
+        self.runner = once.OnceRunner(
+            self.plan,
+            self.dispatcher,
+            claim.ClaimLog(settings.name, peers.objects),
+        )
+        self.desk = callers_app.Desk(
+            self.plan,
+            self.dispatcher,
+            self.runner,
+            self.tracer,
+        )
+        self.lender = permit.Lender(self.plan)
+        self.borrower = permit.Borrower(
+            self.plan,
+            self._ask_owner,
+            self._give_back,
+        )
+        self.plan.return_permit = self.borrower.return_permit
+        self._notices_by_node: dict[str, evidence.Notice] = {}
+        self._tasks: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Start the tasks of the node, one for each peer."""
+        following = feed.Feed(
+            self.peers.objects,
+            self.held,
+            self.is_watcher,
+        )
+        polling = poll.Poller(self.plan.fleet, self.link)
+        for task in (
+            self.gossiper.run,
+            self._run_ticks,
+            self._run_syncs,
+            self._run_machines,
+            following.run,
+            polling.run,
+            self.borrower.run,
+        ):
+            self._tasks.append(gevent.spawn(task))
+
+    def stop(self) -> None:
+        """Stop the tasks of the node."""
+        gevent.killall(self._tasks)
+        self.tracer.close()
+
+    def drain(self) -> None:
+        """Shut down gracefully: finish what was accepted, take nothing new."""
+        self.leaving = True
+        _LOG.write('shutting down.')
+        gevent.sleep(self.settings.notice_seconds)
+        self.plan.draining = True
+        self.gossiper.leave()
+        end = clock.read_monotonic() + self.settings.shutdown_seconds
+        while self.count_open() and clock.read_monotonic() < end:
+            gevent.sleep(DRAIN_CHECK_SECONDS)
+
+    def count_open(self) -> int:
+        """Count the requests that are not finished.
+
+        Returns:
+            The requests that wait, run, or whose outcome is not recorded.
+        """
+        return (
+            self.plan.count_waiting()
+            + self.plan.count_running()
+            + self.runner.count_flights()
+        )
+
+    def is_watcher(self) -> bool:
+        """Tell whether this node holds a watch for its failure domain.
+
+        Returns:
+            Whether it is among the few chosen ones.
+        """
+        names = self.members.group_live().get(self.settings.zone, ())
+        seed = xxhash.xxh3_64_intdigest(self.settings.zone.encode())
+        chosen = prefix.rank_rendezvous(seed, list(names))[:WATCHERS]
+        return self.settings.name in chosen
+
+    def announce(self, sign: evidence.Evidence) -> None:
+        """Tell the other nodes a sign.
+
+        Args:
+            sign: The sign.
+        """
+        self.gossiper.announce(sign)
+
+    def note_sign(self, sign: evidence.Evidence) -> bool:
+        """Take in a sign of another node.
+
+        Args:
+            sign: The sign.
+
+        Returns:
+            Whether it was new.
+        """
+        return _take_sign(sign, self)
+
+    def note_report(self, name: str, report: fleet.Report) -> None:
+        """Take in a back end's report.
+
+        Args:
+            name: The name of the back end.
+            report: The report.
+        """
+        state = self.plan.fleet.by_name.get(name)
+        if state:
+            state.note_report(report)
+
+    def note_notice(self, notice: evidence.Notice) -> bool:
+        """Take in which version another node runs.
+
+        Args:
+            notice: The notice.
+
+        Returns:
+            Whether it was new.
+        """
+        known = self._notices_by_node.get(notice.node)
+        if known and known.version >= notice.version:
+            return False
+        self._notices_by_node[notice.node] = notice
+        if notice.version > self.held.current.version:
+            gevent.spawn(self.fetch_changes, notice.address)
+            return True
+        return False
+
+    def list_versions(self) -> dict[str, int]:
+        """List the versions that the live nodes run, as far as they told.
+
+        Returns:
+            The versions by the name of the node; 0 if it did not tell.
+        """
+        versions = {other.name: 0 for other in self.members.list_live()}
+        for name, notice in self._notices_by_node.items():
+            if name in versions:
+                versions[name] = notice.version
+        versions[self.settings.name] = self.held.current.version
+        return versions
+
+    def fetch_changes(self, address: str) -> None:
+        """Fetch the configuration from another node.
+
+        Args:
+            address: Where the node takes calls.
+        """
+        query = message.ChangeQuery(self.held.current.version)
+        try:
+            reply = self.peers.calls.list_changes(address, query)
+        except error.NodeError as fault:
+            _LOG.write(f'no changes from a node: {fault}.')
+            return
+        self.held.adopt(reply.snapshot, reply.changes)
+
+    def list_changes(self, query: message.ChangeQuery) -> message.ChangeReply:
+        """Answer a query for changes.
+
+        Args:
+            query: The query.
+
+        Returns:
+            The changes, or the whole configuration.
+        """
+        if query.after >= self.held.current.version:
+            return message.ChangeReply(None, ())
+        changes = self.held.list_changes(query.after)
+        if changes is None:
+            return message.ChangeReply(self.held.current, ())
+        return message.ChangeReply(None, changes)
+
+    def sync(self, query: message.SyncQuery) -> message.SyncReply:
+        """Answer a query for members and orders.
+
+        Args:
+            query: The query.
+
+        Returns:
+            What this node knows.
+        """
+        self._merge_knowledge(query.members, query.orders)
+        return message.SyncReply(
+            tuple(self.members.by_name.values()),
+            tuple(self.plan.order_by_zone.values()),
+            self.held.current.version,
+        )
+
+    def lend(self, ask: permit.Ask) -> message.Verdict:
+        """Answer an ask for a slot of a back end.
+
+        Args:
+            ask: What is asked for.
+
+        Returns:
+            Whether it is lent.
+        """
+        return message.Verdict(self.lender.lend(ask))
+
+    def take_back(self, ask: permit.Ask) -> message.Verdict:
+        """Take a slot back.
+
+        Args:
+            ask: The permit.
+
+        Returns:
+            That it is taken back.
+        """
+        self.lender.take_back(ask)
+        return message.Verdict(granted=True)
+
+    def sync_with(self, other: message.Member) -> None:
+        """Exchange all that is known with another node.
+
+        Args:
+            other: The node.
+        """
+        query = message.SyncQuery(
+            tuple(self.members.by_name.values()),
+            tuple(self.plan.order_by_zone.values()),
+        )
+        try:
+            reply = self.peers.calls.sync(other.calls, query)
+        except error.NodeError as fault:
+            _LOG.write(f'no exchange with a node: {fault}.')
+            return
+        self._merge_knowledge(reply.members, reply.orders)
+        if reply.version > self.held.current.version:
+            self.fetch_changes(other.calls)
+
+    def _ask_owner(self, owner: str, ask: permit.Ask) -> bool:
+        return self.peers.calls.lend(self._find_calls(owner), ask).granted
+
+    def _give_back(self, owner: str, ask: permit.Ask) -> None:
+        self.peers.calls.take_back(self._find_calls(owner), ask)
+
+    def _find_calls(self, name: str) -> str:
+        known = self.members.by_name.get(name)
+        if known is None:
+            raise error.NodeError('the node is not known', 'find', name)
+        return known.calls
+
+    def _merge_knowledge(
+        self,
+        members: tuple[message.Member, ...],
+        orders: tuple[evidence.ZoneOrder, ...],
+    ) -> None:
+        for news in members:
+            self.members.merge(news)
+        for order in orders:
+            self.plan.note_order(order)
+
+    def _follow_view(self, view: index.Index) -> None:
+        self.plan.update_view(view)
+        self.announce(
+            evidence.Notice(
+                self.settings.name,
+                self.members.own.calls,
+                view.version,
+            ),
+        )
+
+    def _follow_members(self) -> None:
+        metric.LIVE_NODES.set(len(self.members.list_live()))
+        self.plan.update_nodes(self.members.group_live())
+
+    def _run_ticks(self) -> None:
+        while True:
+            gevent.sleep(scheduler.TICK_SECONDS)
+            self.plan.tick()
+
+    def _run_syncs(self) -> None:
+        joined = False
+        while True:
+            others = self.members.list_others()
+            if others:
+                self.sync_with(random.choice(others))
+                joined = self.held.view is not None
+            pause = SYNC_SECONDS if joined else JOIN_SECONDS
+            gevent.sleep(pause * random.uniform(0.5, 1))
+
+    def _run_machines(self) -> None:
+        while True:
+            try:
+                machines = self.peers.objects.list_machines()
+            except error.PlatformError as fault:
+                _LOG.write(f'no list of machines: {fault}.')
+                machines = ()
+            self.gossiper.add_seeds(
+                tuple(
+                    machine.address
+                    for machine in machines
+                    if not machine.leaving
+                ),
+            )
+            gevent.sleep(MACHINES_SECONDS * random.uniform(0.5, 1.5))
+
+
+@functools.singledispatch
+def _take_sign(sign: evidence.Evidence, node: Node) -> bool:
+    raise NotImplementedError(type(sign))
+
+
+@_take_sign.register
+def _take_pressure(sign: evidence.Pressure, node: Node) -> bool:
+    return node.plan.pressure.record(sign)
+
+
+@_take_sign.register
+def _take_suspicion(sign: evidence.Suspicion, node: Node) -> bool:
+    return node.plan.suspects.record(sign)
+
+
+@_take_sign.register
+def _take_cold_start(sign: evidence.ColdStart, node: Node) -> bool:
+    state = node.plan.fleet.by_name.get(sign.backend)
+    return bool(state and state.note_cold_start(sign.sequence))
+
+
+@_take_sign.register
+def _take_allowance(sign: evidence.Allowance, node: Node) -> bool:
+    state = node.plan.fleet.by_name.get(sign.backend)
+    return bool(state and state.ramp.adopt(sign.slots, sign.sequence))
+
+
+@_take_sign.register
+def _take_order(sign: evidence.ZoneOrder, node: Node) -> bool:
+    return node.plan.note_order(sign)
+
+
+@_take_sign.register
+def _take_notice(sign: evidence.Notice, node: Node) -> bool:
+    return node.note_notice(sign)
+
+
+def make_link(settings: setting.Settings) -> exchange.Link:
+    """Make the link to back ends that the settings describe.
+
+    Args:
+        settings: The settings.
+
+    Returns:
+        The link.
+    """
+    return exchange.Link(
+        pool=connection.Pool(),
+        note_report=_pass_over,
+        connect_seconds=settings.connect_seconds,
+        first_byte_seconds=settings.first_byte_seconds,
+        gap_seconds=settings.gap_seconds,
+    )
+
+
+def _pass_over(name: str, report: fleet.Report) -> None:
+    """Pass over a report that comes before the node is connected."""
+
+
+def _make_member(settings: setting.Settings) -> message.Member:
+    # A restarted node has to supersede what is remembered of it, so its
+    # incarnation starts from the time of its start.
+    return message.Member(
+        settings.name,
+        settings.zone,
+        f'{settings.host}:{settings.gossip_port}',
+        f'{settings.host}:{settings.call_port}',
+        int(clock.read_wall()),
+    )
