--- a/pimentoway/backends/event.py
+++ b/pimentoway/backends/event.py
@@ -9,6 +9,9 @@
 #: The data of the event that ends a stream.
 DONE = b'[DONE]'
 
+#: The HTTP status of a stream.
+STREAM_STATUS = 200
+
 #: The media type of a stream.
 STREAM_TYPE = 'text/event-stream'
 
@@ -195,7 +198,9 @@
         CutError: If the event answers another request.
     """
     if payload == DONE:
-        return request.Piece(sequence, payload, 0, 200, STREAM_TYPE, True)
+        return request.Piece(
+            sequence, payload, 0, STREAM_STATUS, STREAM_TYPE, True
+        )
     chunk = codec.decode_json(payload, Chunk, peer)
     if chunk.id != request_id:
         raise error.CutError(
@@ -204,4 +209,4 @@
             peer,
         )
     tokens = sum(1 for choice in chunk.choices if choice.delta.content)
-    return request.Piece(sequence, payload, tokens, 200, STREAM_TYPE)
+    return request.Piece(sequence, payload, tokens, STREAM_STATUS, STREAM_TYPE)
--- a/pimentoway/backends/exchange.py
+++ b/pimentoway/backends/exchange.py
@@ -32,6 +32,8 @@
 _CHAT_PATH = '/v1/chat/completions'
 _FIRST_ERROR = 400
 _MISSING = 404
+_LEAST_SECONDS = 0.001
+_ERROR_LENGTH = 200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -231,7 +233,7 @@
     link: Link,
     path: str,
 ) -> connection.Call:
-    left = max(entry.deadline - clock.read_monotonic(), 0.001)
+    left = max(entry.deadline - clock.read_monotonic(), _LEAST_SECONDS)
     headers = [
         ('Content-Type', 'application/json'),
         (REQUEST_HEADER, entry.request_id),
@@ -284,5 +286,5 @@
 ) -> None:
     if status < _FIRST_ERROR:
         return
-    text = body.decode(errors='replace')[:200]
+    text = body.decode(errors='replace')[:_ERROR_LENGTH]
     raise error.FailedError(f'status {status}: {text}', 'run', backend.name)
--- a/pimentoway/backends/poll.py
+++ b/pimentoway/backends/poll.py
@@ -31,8 +31,7 @@
     def run(self) -> None:
         """Poll for ever."""
         while True:
-            state = self.choose_stalest()
-            if state:
+            for state in self.choose_due():
                 gevent.spawn(self.poll, state)
             gevent.sleep(1 / POLLS_A_SECOND)
 
@@ -52,23 +51,25 @@
             state.health.failures = 0
             self._link.note_report(state.backend.name, report)
 
-    def choose_stalest(self) -> fleet.BackendState | None:
-        """Choose the back end whose report is the oldest.
+    def choose_due(self) -> list[fleet.BackendState]:
+        """Choose the back ends that are polled now.
 
         Returns:
-            The back end, or nothing if all reports are fresh.
+            All that were never polled; otherwise the one whose report is the
+            oldest, unless all reports are fresh.
         """
         now = clock.read_monotonic()
         stale = [
             state
             for state in self._states.by_name.values()
-            if now - max(state.report_time, state.poll_time) > STALE_SECONDS
+            if now - _read_time(state) > STALE_SECONDS
         ]
-        if not stale:
-            return None
-        chosen = min(stale, key=_read_time)
-        chosen.poll_time = now
-        return chosen
+        due = [state for state in stale if _read_time(state) < 0]
+        if stale and not due:
+            due = [min(stale, key=_read_time)]
+        for state in due:
+            state.poll_time = now
+        return due
 
 
 def _read_time(state: fleet.BackendState) -> float:
--- a/pimentoway/callers/app.py
+++ b/pimentoway/callers/app.py
@@ -87,6 +87,9 @@
 
         Yields:
             The pieces of the answer.
+
+        Raises:
+            PimentowayError: If the request was not answered.
         """
         runner = self._desk.dispatcher
         if not self.entry.service.repeatable:
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -9,9 +9,8 @@
 import dataclasses
 import socket
 
-import gevent
-import gevent.select
-import gevent.socket
+from gevent import select as gevent_select
+from gevent import socket as gevent_socket
 from geventhttpclient import response
 
 from pimentoway.core import clock, error
@@ -80,7 +79,7 @@
         self,
         pool: 'Pool',
         call: Call,
-        sock: gevent.socket.socket,
+        sock: gevent_socket.socket,
         reply: response.HTTPSocketResponse,
     ) -> None:
         """Hold the connection until the answer is read.
@@ -114,9 +113,6 @@
 
         Returns:
             The line with its end, or nothing at the end of the body.
-
-        Raises:
-            CutError: If the connection broke or stood still.
         """
         try:
             return self._reply.readline(b'\n')
@@ -212,7 +208,7 @@
             exchange.close()
         return Answer(exchange.status, exchange.content_type, body)
 
-    def keep(self, address: str, sock: gevent.socket.socket) -> None:
+    def keep(self, address: str, sock: gevent_socket.socket) -> None:
         """Keep a connection on which nothing is left to read.
 
         Args:
@@ -225,7 +221,7 @@
             return
         idle.append((clock.read_monotonic(), sock))
 
-    def _take(self, call: Call) -> gevent.socket.socket:
+    def _take(self, call: Call) -> gevent_socket.socket:
         idle = self._idle_by_address.get(call.address, ())
         while idle:
             kept, sock = idle.pop()
@@ -236,16 +232,16 @@
         return _connect(call)
 
 
-def _is_quiet(sock: gevent.socket.socket) -> bool:
+def _is_quiet(sock: gevent_socket.socket) -> bool:
     # A readable idle connection was closed by the peer.
-    readable, _, _ = gevent.select.select([sock], [], [], 0)
+    readable, _, _ = gevent_select.select([sock], [], [], 0)
     return not readable
 
 
-def _connect(call: Call) -> gevent.socket.socket:
+def _connect(call: Call) -> gevent_socket.socket:
     host, _, port = call.address.rpartition(':')
     try:
-        sock = gevent.socket.create_connection(
+        sock = gevent_socket.create_connection(
             (host, int(port)),
             call.connect_seconds,
         )
@@ -260,7 +256,7 @@
 
 
 def _send(
-    sock: gevent.socket.socket, call: Call
+    sock: gevent_socket.socket, call: Call
 ) -> response.HTTPSocketResponse:
     sock.settimeout(call.first_byte_seconds)
     sock.sendall(_encode_head(call) + call.body)
--- a/pimentoway/core/serving.py
+++ b/pimentoway/core/serving.py
@@ -3,11 +3,12 @@
 import collections
 import socket
 
-import gevent.pool
+import greenlet
+from gevent import pool as gevent_pool
 from gevent import pywsgi
 
 
-class Handler(pywsgi.WSGIHandler):
+class TimedHandler(pywsgi.WSGIHandler):
     """Handles one connection and gives up on a peer that stalls."""
 
     #: Seconds for which a peer may stall; set for each server.
@@ -37,7 +38,7 @@
             fault: The error.
             trace: The traceback.
         """
-        if not issubclass(kind, (OSError, gevent.GreenletExit)):
+        if not issubclass(kind, (OSError, greenlet.GreenletExit)):
             super().handle_error(kind, fault, trace)
 
 
@@ -60,15 +61,15 @@
     Returns:
         The server, not started yet.
     """
-    handler = type(
-        'TimedHandler',
-        (Handler,),
+    handler_class = type(
+        'StallHandler',
+        (TimedHandler,),
         {'stall_seconds': stall_seconds},
     )
     return pywsgi.WSGIServer(
         (host, port),
         app,
-        handler_class=handler,
-        spawn=gevent.pool.Pool(connections),
+        handler_class=handler_class,
+        spawn=gevent_pool.Pool(connections),
         log=None,
     )
--- a/pimentoway/nodes/call.py
+++ b/pimentoway/nodes/call.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections
-import concurrent.futures
 import functools
 import typing
 
@@ -229,9 +228,8 @@
         try:
             return self._run(_call_once(address, path, query, reply_type))
         except (
+            TimeoutError,
             OSError,
-            asyncio.TimeoutError,
-            concurrent.futures.TimeoutError,
             exceptions.GRPCError,
             exceptions.ProtocolError,
             exceptions.StreamTerminatedError,
--- a/pimentoway/nodes/gossip.py
+++ b/pimentoway/nodes/gossip.py
@@ -1,4 +1,4 @@
-"""Gossip between nodes over UDP: probes of random members, and what rides along.
+"""Gossip between nodes over UDP: probes of members, and what rides along.
 
 Each node probes one member a second, whatever the number of members. News of
 members and evidence ride on the probes; urgent evidence is sent to a few
@@ -13,7 +13,7 @@
 import typing
 
 import gevent
-import gevent.event
+from gevent import event as gevent_event
 
 from pimentoway.core import codec, error, evidence, log, metric
 from pimentoway.nodes import member, message
@@ -21,6 +21,9 @@
 #: Seconds between two probes.
 PROBE_SECONDS = 1
 
+#: The part by which the time between probes varies.
+PROBE_JITTER = 0.2
+
 #: Seconds in which a probed member has to answer.
 ACK_SECONDS = 0.3
 
@@ -93,7 +96,7 @@
         self._note_sign = note_sign
         self._seeds = seeds
         self._sequence = itertools.count(1)
-        self._acks_by_sequence: dict[int, gevent.event.Event] = {}
+        self._acks_by_sequence: dict[int, gevent_event.Event] = {}
         self._member_rumours: dict[str, Rumour] = {}
         self._sign_rumours: collections.deque[Rumour] = collections.deque(
             maxlen=KEPT_SIGNS,
@@ -104,7 +107,8 @@
         """Probe members for ever."""
         while True:
             self.probe_next()
-            gevent.sleep(PROBE_SECONDS * random.uniform(0.8, 1.2))
+            jitter = random.uniform(-PROBE_JITTER, PROBE_JITTER)
+            gevent.sleep(PROBE_SECONDS * (1 + jitter))
 
     def probe_next(self) -> None:
         """Probe the next member, and a seed while there is none."""
@@ -140,16 +144,16 @@
         for other in self._pick_others(FANOUT):
             self._send(message.PacketKind.spread, other.gossip, 0)
 
-    def receive(self, data: bytes, address: str) -> None:
+    def receive(self, encoded: bytes, address: str) -> None:
         """Take in a packet.
 
         Args:
-            data: The packet.
+            encoded: The packet.
             address: Where it came from.
         """
-        metric.CONTROL_BYTES.labels('gossip', 'in').inc(len(data))
+        metric.CONTROL_BYTES.labels('gossip', 'in').inc(len(encoded))
         try:
-            packet = codec.decode_packed(data, message.Packet, address)
+            packet = codec.decode_packed(encoded, message.Packet, address)
         except error.PimentowayError as fault:
             _LOG.write(f'a packet is not valid: {fault}.')
             return
@@ -184,14 +188,14 @@
         if known and known.standing > packet.sender.standing:
             # Tells the sender what is thought of it, so that it can refute.
             self._carry_member(known)
-        for news in [packet.sender, *packet.members]:
+        for news in (packet.sender, *packet.members):
             if self._table.merge(news):
                 mine = news.name == self._table.own.name
                 self._carry_member(self._table.own if mine else news)
 
     def _probe(self, target: message.Member) -> None:
         sequence = next(self._sequence)
-        acked = gevent.event.Event()
+        acked = gevent_event.Event()
         self._acks_by_sequence[sequence] = acked
         try:
             self._send(message.PacketKind.ping, target.gossip, sequence)
@@ -280,9 +284,9 @@
         self._transmit(address, packet)
 
     def _transmit(self, address: str, packet: message.Packet) -> None:
-        data = codec.encode_packed(packet)
-        metric.CONTROL_BYTES.labels('gossip', 'out').inc(len(data))
-        self._transport.send(address, data)
+        encoded = codec.encode_packed(packet)
+        metric.CONTROL_BYTES.labels('gossip', 'out').inc(len(encoded))
+        self._transport.send(address, encoded)
 
     def _take_members(self) -> list[message.Member]:
         chosen = sorted(
@@ -294,7 +298,7 @@
             rumour.left -= 1
             if rumour.left <= 0:
                 self._member_rumours.pop(rumour.news.name)
-        return [rumour.news for rumour in chosen]
+        return [taken.news for taken in chosen]
 
     def _take_signs(self) -> list[evidence.Evidence]:
         chosen = [
@@ -305,7 +309,7 @@
             rumour.left -= 1
             if rumour.left > 0:
                 self._sign_rumours.append(rumour)
-        return [rumour.news for rumour in chosen]
+        return [taken.news for taken in chosen]
 
 
 def _read_left(rumour: Rumour) -> int:
--- a/pimentoway/nodes/member.py
+++ b/pimentoway/nodes/member.py
@@ -106,6 +106,14 @@
         self.own = self._restate(self.own, message.Standing.left)
         return self.own
 
+    def list_known(self) -> tuple[message.Member, ...]:
+        """List all members, dead ones included.
+
+        Returns:
+            The members.
+        """
+        return tuple(self.by_name.values())
+
     def list_live(self) -> list[message.Member]:
         """List the members that count as live, the node itself included.
 
--- /dev/null
+++ b/pimentoway/nodes/relay.py
@@ -0,0 +1,256 @@
+"""What nodes ask each other by calls, and what they answer.
+
+A node that learns of a newer configuration fetches it from the node that
+runs it, so that the platform serves a few watches for each failure domain
+however many nodes there are.
+"""
+
+import dataclasses
+import typing
+
+import gevent
+
+from pimentoway.core import error, evidence, log
+from pimentoway.nodes import member, message
+from pimentoway.ops import keeper, permit, scheduler
+
+_LOG = log.Log('relay')
+
+
+class Calls(typing.Protocol):
+    """Makes calls to other nodes; raises ``NodeError`` if one fails."""
+
+    def list_changes(
+        self, address: str, query: message.ChangeQuery
+    ) -> message.ChangeReply:
+        """Ask a node for changes of the configuration.
+
+        Args:
+            address: Where the node takes calls.
+            query: What is asked for.
+
+        Returns:
+            The changes.
+        """
+
+    def sync(self, address: str, query: message.SyncQuery) -> message.SyncReply:
+        """Exchange members and orders with a node.
+
+        Args:
+            address: Where the node takes calls.
+            query: What this node knows.
+
+        Returns:
+            What the other node knows.
+        """
+
+    def lend(self, address: str, ask: permit.Ask) -> message.Verdict:
+        """Ask a node for a slot of a back end.
+
+        Args:
+            address: Where the node takes calls.
+            ask: What is asked for.
+
+        Returns:
+            Whether it is lent.
+        """
+
+    def take_back(self, address: str, ask: permit.Ask) -> message.Verdict:
+        """Give a slot back to the node that lent it.
+
+        Args:
+            address: Where the node takes calls.
+            ask: The permit.
+
+        Returns:
+            That it is taken back.
+        """
+
+
+@dataclasses.dataclass(frozen=True)
+class Knowledge:
+    """What a node knows and other nodes may ask for.
+
+    Attributes:
+        held: The configuration.
+        members: The members.
+        plan: The scheduler.
+    """
+
+    held: keeper.Keeper
+    members: member.MemberTable
+    plan: scheduler.Scheduler
+
+
+class Relay:
+    """Answers the calls of other nodes and makes calls to them."""
+
+    def __init__(self, known: Knowledge, calls: Calls) -> None:
+        """Connect the parts.
+
+        Args:
+            known: What the node knows.
+            calls: Makes calls to other nodes.
+        """
+        self._known = known
+        self._calls = calls
+        self._lender = permit.Lender(known.plan)
+        self._notices_by_node: dict[str, evidence.Notice] = {}
+
+    def list_changes(self, query: message.ChangeQuery) -> message.ChangeReply:
+        """Answer a query for changes.
+
+        Args:
+            query: The query.
+
+        Returns:
+            The changes, or the whole configuration.
+        """
+        held = self._known.held
+        if query.after >= held.current.version:
+            return message.ChangeReply(None, ())
+        changes = held.list_changes(query.after)
+        if changes is None:
+            return message.ChangeReply(held.current, ())
+        return message.ChangeReply(None, changes)
+
+    def sync(self, query: message.SyncQuery) -> message.SyncReply:
+        """Answer a query for members and orders.
+
+        Args:
+            query: The query.
+
+        Returns:
+            What this node knows.
+        """
+        self._merge(query.members, query.orders)
+        return message.SyncReply(
+            self._known.members.list_known(),
+            self._known.plan.place.list_orders(),
+            self._known.held.current.version,
+        )
+
+    def lend(self, ask: permit.Ask) -> message.Verdict:
+        """Answer an ask for a slot of a back end.
+
+        Args:
+            ask: What is asked for.
+
+        Returns:
+            Whether it is lent.
+        """
+        return message.Verdict(self._lender.lend(ask))
+
+    def take_back(self, ask: permit.Ask) -> message.Verdict:
+        """Take a slot back.
+
+        Args:
+            ask: The permit.
+
+        Returns:
+            That it is taken back.
+        """
+        self._lender.take_back(ask)
+        return message.Verdict(granted=True)
+
+    def note_notice(self, notice: evidence.Notice) -> bool:
+        """Take in which version another node runs.
+
+        Args:
+            notice: The notice.
+
+        Returns:
+            Whether the version is newer than this node's own.
+        """
+        known = self._notices_by_node.get(notice.node)
+        if known and known.version >= notice.version:
+            return False
+        self._notices_by_node[notice.node] = notice
+        if notice.version <= self._known.held.current.version:
+            return False
+        gevent.spawn(self.fetch_changes, notice.address)
+        return True
+
+    def list_versions(self) -> dict[str, int]:
+        """List the versions that the live nodes run, as far as they told.
+
+        Returns:
+            The versions by the name of the node; 0 if it did not tell.
+        """
+        versions = {}
+        for other in self._known.members.list_live():
+            notice = self._notices_by_node.get(other.name)
+            versions[other.name] = notice.version if notice else 0
+        own = self._known.members.own.name
+        versions[own] = self._known.held.current.version
+        return versions
+
+    def fetch_changes(self, address: str) -> None:
+        """Fetch the configuration from another node.
+
+        Args:
+            address: Where the node takes calls.
+        """
+        query = message.ChangeQuery(self._known.held.current.version)
+        try:
+            reply = self._calls.list_changes(address, query)
+        except error.NodeError as fault:
+            _LOG.write(f'no changes from a node: {fault}.')
+            return
+        self._known.held.adopt(reply.snapshot, reply.changes)
+
+    def sync_with(self, other: message.Member) -> None:
+        """Exchange all that is known with another node.
+
+        Args:
+            other: The node.
+        """
+        query = message.SyncQuery(
+            self._known.members.list_known(),
+            self._known.plan.place.list_orders(),
+        )
+        try:
+            reply = self._calls.sync(other.calls, query)
+        except error.NodeError as fault:
+            _LOG.write(f'no exchange with a node: {fault}.')
+            return
+        self._merge(reply.members, reply.orders)
+        if reply.version > self._known.held.current.version:
+            self.fetch_changes(other.calls)
+
+    def ask_owner(self, owner: str, ask: permit.Ask) -> bool:
+        """Ask the owner of a back end's ramp for a slot.
+
+        Args:
+            owner: The name of the node.
+            ask: What is asked for.
+
+        Returns:
+            Whether it is lent.
+        """
+        return self._calls.lend(self._find_address(owner), ask).granted
+
+    def give_back(self, owner: str, ask: permit.Ask) -> None:
+        """Give a slot back to the owner of a back end's ramp.
+
+        Args:
+            owner: The name of the node.
+            ask: The permit.
+        """
+        self._calls.take_back(self._find_address(owner), ask)
+
+    def _find_address(self, name: str) -> str:
+        known = self._known.members.by_name.get(name)
+        if known is None:
+            raise error.NodeError('the node is not known', 'find', name)
+        return known.calls
+
+    def _merge(
+        self,
+        members: tuple[message.Member, ...],
+        orders: tuple[evidence.ZoneOrder, ...],
+    ) -> None:
+        for news in members:
+            self._known.members.merge(news)
+        for order in orders:
+            self._known.plan.note_order(order)
--- a/pimentoway/nodes/transport.py
+++ b/pimentoway/nodes/transport.py
@@ -2,7 +2,7 @@
 
 import collections
 
-import gevent.server
+from gevent import server as gevent_server
 
 
 class UdpTransport:
@@ -15,9 +15,9 @@
             host: The IP number.
             port: The port.
         """
-        self._server = gevent.server.DatagramServer(
+        self._server = gevent_server.DatagramServer(
             (host, port),
-            self._handle,
+            self._pass_on,
         )
         self._receive: collections.abc.Callable[[bytes, str], None] | None
         self._receive = None
@@ -51,6 +51,6 @@
         """Stop receiving."""
         self._server.stop()
 
-    def _handle(self, packet: bytes, address: tuple[str, int]) -> None:
+    def _pass_on(self, packet: bytes, address: tuple[str, int]) -> None:
         if self._receive:
             self._receive(packet, f'{address[0]}:{address[1]}')
--- a/pimentoway/operators/app.py
+++ b/pimentoway/operators/app.py
@@ -240,12 +240,12 @@
         waiting=node.plan.count_waiting(),
         running=node.plan.count_running(),
         leaving=node.leaving,
-        closed_zones=sorted(node.plan.site.closed_zones),
+        closed_zones=sorted(node.plan.place.current.closed_zones),
         backends=[
             _describe_backend(state, node)
             for state in node.plan.fleet.by_name.values()
         ],
-        configuration_by_node=node.list_versions(),
+        configuration_by_node=node.relay.list_versions(),
     )
 
 
@@ -259,7 +259,7 @@
         phase=state.ramp.phase.value,
         slots=round(state.limit.slots, 1),
         inflight=len(state.inflight),
-        open=route.is_open(state, node.plan.site),
+        open=route.is_open(state, node.plan.place.current),
     )
 
 
--- a/pimentoway/ops/claim.py
+++ b/pimentoway/ops/claim.py
@@ -12,8 +12,8 @@
 import uuid
 
 import gevent
-import gevent.event
 import xxhash
+from gevent import event as gevent_event
 
 from pimentoway.core import clock, codec, error, log, request
 from pimentoway.platform import store
@@ -94,6 +94,14 @@
     entries: tuple[Entry, ...] = ()
 
 
+class Progress(enum.Enum):
+    """What became of an attempt to update a segment."""
+
+    written = 'written'
+    overtaken = 'overtaken'
+    unsure = 'unsure'
+
+
 @dataclasses.dataclass(frozen=True)
 class Pending:
     """An entry that waits to be written.
@@ -104,7 +112,7 @@
     """
 
     entry: Entry
-    written: gevent.event.AsyncResult
+    written: gevent_event.AsyncResult
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,15 +155,15 @@
 class Shard:
     """One shard of the log, as one node knows it."""
 
-    def __init__(self, number: int, objects: store.Store) -> None:
+    def __init__(self, number: int, object_store: store.Store) -> None:
         """Know nothing yet.
 
         Args:
             number: The number of the shard.
-            objects: The platform's object service.
+            object_store: The platform's object service.
         """
         self._number = number
-        self._objects = objects
+        self._store = object_store
         self._latest_by_key: dict[str, Entry] = {}
         self._open: Segment | None = None
         self._open_version = 0
@@ -164,7 +172,7 @@
         self._pending: list[Pending] = []
         self._writer: gevent.Greenlet | None = None
 
-    def append(self, entry: Entry) -> gevent.event.AsyncResult:
+    def append(self, entry: Entry) -> gevent_event.AsyncResult:
         """Append an entry with the next update.
 
         Args:
@@ -174,7 +182,7 @@
             Set to the entry that the log holds for the key afterwards, or to
             an error of the platform.
         """
-        written = gevent.event.AsyncResult()
+        written = gevent_event.AsyncResult()
         self._pending.append(Pending(entry, written))
         if not self._writer:
             self._writer = gevent.spawn(self._write_all)
@@ -185,7 +193,8 @@
         # next one.
         try:
             while self._pending:
-                batch, self._pending = self._pending, []
+                batch = self._pending
+                self._pending = []
                 self._write_batch(batch)
         finally:
             self._writer = None
@@ -194,34 +203,50 @@
         try:
             self._commit(batch)
         except error.PlatformError as fault:
-            for pending in batch:
-                pending.written.set_exception(fault)
+            self._refuse_batch(batch, fault)
             return
         for pending in batch:
             pending.written.set(self._latest_by_key.get(pending.entry.key))
 
+    def _refuse_batch(
+        self, batch: list[Pending], fault: error.PlatformError
+    ) -> None:
+        # An earlier copy's entry is known whether or not the platform is out.
+        for pending in batch:
+            known = self._latest_by_key.get(pending.entry.key)
+            if known and not _may_follow(known, pending.entry):
+                pending.written.set(known)
+            else:
+                pending.written.set_exception(fault)
+
     def _commit(self, batch: list[Pending]) -> None:
         entries = [pending.entry for pending in batch]
         unsure = False
         for attempt in range(ATTEMPTS):
-            try:
-                if self._try_commit(entries):
-                    return
-            except error.PlatformAmbiguousError:
-                # The update may take effect late; as every update names the
-                # version that it replaces, another attempt does no harm.
-                unsure = True
-                gevent.sleep(RECORD_PAUSE_SECONDS / ATTEMPTS * attempt)
-            except error.PlatformUnavailableError:
-                if not unsure:
-                    raise
-                gevent.sleep(RECORD_PAUSE_SECONDS / ATTEMPTS * attempt)
+            progress = self._attempt(entries, unsure)
+            if progress is Progress.written:
+                return
+            # An unsure update may take effect late; as every update names the
+            # version that it replaces, another attempt does no harm.
+            unsure = unsure or progress is Progress.unsure
+            gevent.sleep(RECORD_PAUSE_SECONDS / ATTEMPTS * attempt)
         raise error.PlatformAmbiguousError(
             'the claim could not be recorded',
             'claim',
             f'shard {self._number}',
         )
 
+    def _attempt(self, entries: list[Entry], unsure: bool) -> Progress:
+        try:
+            written = self._try_commit(entries)
+        except error.PlatformUnavailableError:
+            if not unsure:
+                raise
+            return Progress.unsure
+        except error.PlatformAmbiguousError:
+            return Progress.unsure
+        return Progress.written if written else Progress.overtaken
+
     def _try_commit(self, entries: list[Entry]) -> bool:
         if self._stale:
             self._refresh()
@@ -267,7 +292,7 @@
         if len(body) > SEGMENT_BYTES:
             segment = dataclasses.replace(segment, sealed=True)
             body = codec.encode_json(segment).decode()
-        written = self._objects.write(
+        written = self._store.write(
             store.CLAIM_KIND,
             self._name_segment(segment.number),
             body,
@@ -287,7 +312,7 @@
             _LOG.write(f'old segments stay for now: {fault}.')
 
     def _load(self) -> None:
-        listed = self._objects.list_objects(
+        listed = self._store.list_objects(
             store.CLAIM_KIND,
             self._name_segment(None),
         )
@@ -307,7 +332,7 @@
         # Follows the chain to the segment that is open now.
         found = True
         while found:
-            stored = self._objects.read(
+            stored = self._store.read(
                 store.CLAIM_KIND,
                 self._name_segment(self._open.number),
             )
@@ -327,7 +352,7 @@
 
         A segment was sealed when the next one was opened.
         """
-        listed = self._objects.list_objects(
+        listed = self._store.list_objects(
             store.CLAIM_KIND,
             self._name_segment(None),
         )
@@ -336,7 +361,7 @@
         for stored in reversed(listed.changed):
             segment = _decode_segment(stored)
             if later and later.opened < kept_from:
-                self._objects.remove(stored.kind, stored.name, stored.version)
+                self._store.remove(stored.kind, stored.name, stored.version)
                 self._forget(segment)
             later = segment
 
@@ -362,15 +387,15 @@
 class ClaimLog:
     """The claim log, as one node uses it."""
 
-    def __init__(self, node: str, objects: store.Store) -> None:
+    def __init__(self, node: str, object_store: store.Store) -> None:
         """Use the platform's object service.
 
         Args:
             node: The name of the node.
-            objects: The service.
+            object_store: The service.
         """
         self._node = node
-        self._shards = [Shard(number, objects) for number in range(SHARDS)]
+        self._shards = [Shard(number, object_store) for number in range(SHARDS)]
 
     def claim(self, entry: request.Request) -> Claim:
         """Claim a request, unless it was claimed before.
@@ -424,7 +449,7 @@
                 recorded = True
 
     def _take_back(
-        self, wanted: Entry, written: gevent.event.AsyncResult
+        self, wanted: Entry, written: gevent_event.AsyncResult
     ) -> None:
         # The update may take effect late, so the claim is taken back.
         written.wait()
--- a/pimentoway/ops/dispatch.py
+++ b/pimentoway/ops/dispatch.py
@@ -239,18 +239,31 @@
                 return
             gevent.sleep(RESUMPTION_PAUSE_SECONDS * attempt)
             _LOG.write('resuming a broken stream.', entry.request_id)
-            pieces = exchange.resume_answer(
-                state.backend,
-                entry,
-                self._link,
-                progress.last,
-            )
+            pieces = self._resume(entry, state, progress)
         raise error.OutcomeUnknownError(
             'the answer broke off and could not be resumed',
             'resume',
             state.backend.name,
         )
 
+    def _resume(
+        self,
+        entry: request.Request,
+        state: fleet.BackendState,
+        progress: Progress,
+    ) -> Pieces:
+        resumed = exchange.resume_answer(
+            state.backend,
+            entry,
+            self._link,
+            progress.last,
+        )
+        try:
+            yield from resumed
+        except error.ConnectError as fault:
+            # Bytes were sent before, so this is no connection never made.
+            raise error.CutError(fault.reason, 'resume', fault.peer) from fault
+
     def _follow(
         self, pieces: Pieces, entry: request.Request, progress: Progress
     ) -> Pieces:
@@ -261,10 +274,6 @@
                 _check_piece(piece, entry, progress)
                 progress.add(piece)
                 yield piece
-        except error.ConnectError as fault:
-            if progress.first:
-                raise error.CutError(fault.reason, 'resume') from fault
-            raise
         except error.RunLostError as fault:
             raise error.OutcomeUnknownError(
                 'the back end lost the run',
@@ -331,10 +340,10 @@
         state: fleet.BackendState,
         progress: Progress,
     ) -> None:
-        nodes = self._plan.site.nodes
+        nodes = self._plan.place.current.nodes
         if state.note_answer(progress.measure_pace(), nodes):
             self._announce_cold(state)
-        elif state.backend.name in self._plan.site.owned:
+        elif state.backend.name in self._plan.place.current.owned:
             self._announce_allowance(state)
         metric.BACKEND_SLOTS.labels(state.backend.name).set(state.limit.slots)
 
@@ -344,7 +353,7 @@
         state: fleet.BackendState,
         fault: error.PimentowayError,
     ) -> None:
-        state.note_failure(self._plan.site.nodes)
+        state.note_failure(self._plan.place.current.nodes)
         _LOG.write(f'an answer failed: {fault}.', entry.request_id)
 
     def _announce_cold(self, state: fleet.BackendState) -> None:
--- a/pimentoway/ops/fleet.py
+++ b/pimentoway/ops/fleet.py
@@ -229,19 +229,3 @@
         if until <= now:
             state.lent.pop(permit_id)
     return len(state.lent)
-
-
-def needs_permit(state: BackendState, owned: bool, nodes: int) -> bool:
-    """Tell whether a node needs permits to use a back end.
-
-    Args:
-        state: The back end.
-        owned: Whether the node owns its ramp.
-        nodes: The nodes that share it.
-
-    Returns:
-        Whether it does.
-    """
-    if owned or state.ramp.phase is ramp.Phase.warm:
-        return False
-    return state.ramp.slots < nodes
--- a/pimentoway/ops/limit.py
+++ b/pimentoway/ops/limit.py
@@ -45,8 +45,8 @@
             slots: The first limit.
         """
         self.slots = float(slots)
-        self.pace = 0.0
-        self.best_pace = 0.0
+        self.pace: float = 0
+        self.best_pace: float = 0
 
     def record_pace(self, pace: float, inflight: int) -> float:
         """Learn from an answer that came whole.
--- a/pimentoway/ops/once.py
+++ b/pimentoway/ops/once.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 import gevent
-import gevent.event
+from gevent import event as gevent_event
 
 from pimentoway.backends import event
 from pimentoway.core import clock, error, log, request
@@ -33,7 +33,7 @@
     """
 
     fingerprint: str
-    answer: gevent.event.AsyncResult
+    answer: gevent_event.AsyncResult
 
 
 class OnceRunner:
@@ -96,7 +96,7 @@
         flight = self._flights_by_key.get(key)
         if flight is None:
             self._plan.check_open(entry)
-            flight = Flight(fingerprint, gevent.event.AsyncResult())
+            flight = Flight(fingerprint, gevent_event.AsyncResult())
             self._flights_by_key[key] = flight
             gevent.spawn(self._fly, key, entry, flight)
         elif flight.fingerprint != fingerprint:
--- a/pimentoway/ops/permit.py
+++ b/pimentoway/ops/permit.py
@@ -11,7 +11,7 @@
 import gevent
 
 from pimentoway.core import clock, error, log
-from pimentoway.ops import fleet, scheduler
+from pimentoway.ops import fleet, route, scheduler
 
 #: Seconds for which an owner lets an asker wait for a slot.
 WAIT_SECONDS = 1
@@ -82,9 +82,13 @@
 
     def _try_lend(self, ask: Ask) -> bool:
         state = self._plan.fleet.by_name.get(ask.backend)
-        if state is None or ask.backend not in self._plan.site.owned:
+        if state is None or ask.backend not in self._plan.place.current.owned:
             return False
-        if not self._plan.may_lend(state, ask.rank):
+        site = self._plan.place.current
+        if route.count_free_slots(state, site) < 1:
+            return False
+        waiting = self._plan.list_waiting_ranks(state.backend.pool)
+        if any(rank < ask.rank for rank in waiting):
             return False
         state.lent[ask.permit_id] = clock.read_monotonic() + LEASE_SECONDS
         return True
@@ -120,7 +124,7 @@
 
     def seek(self) -> None:
         """Ask for permits where requests wait for cold back ends."""
-        for state, rank in self._plan.list_wanted_permits():
+        for state, rank in list_wanted(self._plan):
             if state.backend.name not in self._asking:
                 self._asking.add(state.backend.name)
                 gevent.spawn(self._ask, state, rank)
@@ -136,7 +140,7 @@
 
     def _ask(self, state: fleet.BackendState, rank: int) -> None:
         name = state.backend.name
-        owner = self._plan.choose_owner(state)
+        owner = self._plan.place.choose_owner(state)
         permit_id = f'{self._plan.identity.name}/{next(self._numbers)}'
         try:
             granted = self._ask_owner(owner, Ask(name, permit_id, rank))
@@ -154,10 +158,33 @@
             self._return(state, permit_id)
 
     def _return(self, state: fleet.BackendState, permit_id: str) -> None:
-        owner = self._plan.choose_owner(state)
+        owner = self._plan.place.choose_owner(state)
         ask = Ask(state.backend.name, permit_id, 0)
         try:
             self._give_back(owner, ask)
         except error.NodeError as fault:
             # The owner takes the slot back when the lease ends.
             _LOG.write(f'a permit was not returned: {fault}.')
+
+
+def list_wanted(
+    plan: scheduler.Scheduler,
+) -> list[tuple[fleet.BackendState, int]]:
+    """List the back ends of which a node should borrow slots.
+
+    Args:
+        plan: The scheduler of the node.
+
+    Returns:
+        The back ends with the highest rank that waits for them.
+    """
+    wanted = []
+    for state in plan.fleet.by_name.values():
+        pool = state.backend.pool
+        ranks = plan.list_waiting_ranks(pool)
+        if not ranks or not plan.pressure.admits(pool, ranks[0]):
+            continue
+        site = plan.place.current
+        if route.is_open(state, site) and route.needs_permit(state, site):
+            wanted.append((state, ranks[0]))
+    return wanted
--- a/pimentoway/ops/queue.py
+++ b/pimentoway/ops/queue.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 
-import gevent.event
+from gevent import event as gevent_event
 
 from pimentoway.core import request
 
@@ -48,7 +48,7 @@
         """
         self.request = entry
         self.state = TicketState.waiting
-        self.granted = gevent.event.AsyncResult()
+        self.granted = gevent_event.AsyncResult()
         self.trial = trial
 
     def grant(self, chosen: object) -> None:
@@ -90,6 +90,9 @@
     )
 
 
+Callers = dict[str, Line]
+
+
 class FairQueue:
     """The queue of one pool.
 
@@ -105,7 +108,7 @@
         """
         self.tokens = 0
         self._bound = bound
-        self._by_rank: dict[int, dict[str, dict[str, Line]]] = {}
+        self._by_rank: dict[int, dict[str, Callers]] = {}
         self._tokens_by_rank: collections.Counter[int] = collections.Counter()
         self._served_by_customer: dict[tuple[int, str], float] = {}
         self._served_by_caller: dict[tuple[int, str], float] = {}
@@ -168,11 +171,7 @@
         Returns:
             The tickets in the order in which they should be served.
         """
-        heads = [
-            line.waiting[0]
-            for callers in self._by_rank.get(rank, {}).values()
-            for line in callers.values()
-        ]
+        heads = [line.waiting[0] for line in self._list_lines(rank)]
         return sorted(heads, key=self._measure_service)
 
     def list_ranks(self) -> list[int]:
@@ -189,13 +188,11 @@
         Returns:
             The tickets, the highest tier first.
         """
-        return [
-            ticket
-            for rank in self.list_ranks()
-            for callers in self._by_rank[rank].values()
-            for line in callers.values()
-            for ticket in line.waiting
-        ]
+        waiting: list[Ticket] = []
+        for rank in self.list_ranks():
+            for line in self._list_lines(rank):
+                waiting.extend(line.waiting)
+        return waiting
 
     def count_tokens_before(self, rank: int) -> int:
         """Count the waiting tokens that go before a newcomer.
@@ -229,6 +226,13 @@
             self._served_by_caller.get(caller, 0) + tokens
         )
 
+    def _list_lines(self, rank: int) -> list[Line]:
+        return [
+            line
+            for callers in self._by_rank.get(rank, {}).values()
+            for line in callers.values()
+        ]
+
     def _count(self, entry: request.Request, tokens: int) -> None:
         self.tokens += tokens
         self._tokens_by_rank[entry.rank] += tokens
--- a/pimentoway/ops/route.py
+++ b/pimentoway/ops/route.py
@@ -113,13 +113,30 @@
     slots = int(state.limit.slots) - len(state.inflight)
     if state.ramp.phase is ramp.Phase.warm:
         return slots
-    owned = state.backend.name in site.owned
-    if fleet.needs_permit(state, owned, site.nodes):
+    if needs_permit(state, site):
         return min(slots, len(state.permits))
+    owned = state.backend.name in site.owned
     share = state.ramp.share_slots(owned, site.nodes)
     return min(slots, share - len(state.inflight) - fleet.count_lent(state))
 
 
+def needs_permit(state: fleet.BackendState, site: Site) -> bool:
+    """Tell whether a node has to borrow slots of a back end.
+
+    Args:
+        state: The back end.
+        site: Where the node stands.
+
+    Returns:
+        Whether another node owns its ramp and the slots can't be divided.
+    """
+    if state.backend.name in site.owned:
+        return False
+    if state.ramp.phase is ramp.Phase.warm:
+        return False
+    return state.ramp.slots < site.nodes
+
+
 def group_candidates(
     view: index.Index,
     states: fleet.Fleet,
--- a/pimentoway/ops/scheduler.py
+++ b/pimentoway/ops/scheduler.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from pimentoway.core import clock, error, evidence, index, metric, request
-from pimentoway.ops import fleet, pressure, queue, ramp, route, suspect
+from pimentoway.ops import fleet, pressure, queue, route, site, suspect
 
 #: Seconds between two looks at queues whose back ends may have reopened.
 TICK_SECONDS = 0.1
@@ -41,9 +41,9 @@
 
     def __init__(self) -> None:
         """Start without any answer."""
-        self._tokens = 0.0
+        self._tokens: float = 0
         self._time = clock.read_monotonic()
-        self._first = 0.0
+        self._first: float = 0
 
     def record(self, tokens: int) -> None:
         """Count an answer.
@@ -96,8 +96,7 @@
         suspects: The requests that may crash back ends.
         pressure: The tiers that wait at other nodes.
         draining: Whether the node takes no new requests.
-        order_by_zone: The operators' orders given directly to nodes.
-        site: Where the node stands.
+        place: Where the node stands.
         return_permit: Gives a borrowed slot back.
     """
 
@@ -120,14 +119,7 @@
         self.suspects = suspect.SuspectTable()
         self.pressure = pressure.PressureTable(identity.name, identity.zone)
         self.draining = False
-        self.order_by_zone: dict[str, evidence.ZoneOrder] = {}
-        self.site = route.Site(
-            identity.name,
-            identity.zone,
-            1,
-            frozenset(),
-            frozenset(),
-        )
+        self.place = site.SiteKeeper(identity.name, identity.zone)
         self.return_permit: collections.abc.Callable[
             [fleet.BackendState, str],
             None,
@@ -135,7 +127,6 @@
         self._announce = announce
         self._queue_tokens = queue_tokens
         self._pools_by_name: dict[str, Pool] = {}
-        self._nodes_by_zone: dict[str, tuple[str, ...]] = {}
 
     def update_view(self, view: index.Index) -> None:
         """Follow a new configuration.
@@ -145,8 +136,7 @@
         """
         self.view = view
         self.fleet.update(view)
-        self._update_site()
-        self.tick()
+        self._update_place()
 
     def update_nodes(self, nodes_by_zone: dict[str, tuple[str, ...]]) -> None:
         """Follow a change of the live nodes.
@@ -154,9 +144,8 @@
         Args:
             nodes_by_zone: The names of the live nodes by failure domain.
         """
-        self._nodes_by_zone = nodes_by_zone
-        self._update_site()
-        self.tick()
+        self.place.note_nodes(nodes_by_zone)
+        self._update_place()
 
     def note_order(self, order: evidence.ZoneOrder) -> bool:
         """Take in an operator's order to a failure domain.
@@ -167,12 +156,10 @@
         Returns:
             Whether it was new.
         """
-        known = self.order_by_zone.get(order.zone)
-        if known and known.sequence >= order.sequence:
-            return False
-        self.order_by_zone[order.zone] = order
-        self._update_site()
-        return True
+        new = self.place.note_order(order)
+        if new:
+            self._update_place()
+        return new
 
     def check_open(self, entry: request.Request) -> None:
         """Check that a request may be queued at all.
@@ -197,7 +184,7 @@
             backend
             for backend in members
             if not backend.leaving
-            and backend.zone not in self.site.closed_zones
+            and backend.zone not in self.place.current.closed_zones
         )
         if not any(usable):
             raise error.NoBackendError(
@@ -217,10 +204,7 @@
             trial: Whether it has to run alone on its back end.
 
         Returns:
-            Its ticket.
-
-        Raises:
-            NotRunError: If the request is refused at once.
+            Its ticket. A refusal at once is raised as a ``NotRunError``.
         """
         self.check_open(entry)
         pool = self._find_pool(entry.service.pool)
@@ -303,62 +287,22 @@
         for rank in waiting.list_ranks():
             if not self.pressure.admits(name, rank):
                 return
-            while self._grant_next(waiting, rank):
-                continue
+            self._grant_rank(waiting, rank)
             # While a request waits that any slot would serve, no lower tier
             # is served.
             if any(not _is_trial(one) for one in waiting.list_heads(rank)):
                 return
 
-    def list_wanted_permits(self) -> list[tuple[fleet.BackendState, int]]:
-        """List the back ends whose slots should be borrowed.
-
-        Returns:
-            The back ends with the highest rank that waits for them.
-        """
-        wanted = []
-        for name, pool in self._pools_by_name.items():
-            ranks = pool.waiting.list_ranks()
-            if not ranks or not self.pressure.admits(name, ranks[0]):
-                continue
-            wanted.extend(
-                (state, ranks[0])
-                for state in self.fleet.by_name.values()
-                if state.backend.pool == name
-                and route.is_open(state, self.site)
-                and self._needs_permit(state)
-            )
-        return wanted
-
-    def may_lend(self, state: fleet.BackendState, rank: int) -> bool:
-        """Tell whether a slot may be lent to a request of another node.
-
-        Args:
-            state: The back end.
-            rank: The rank of the request.
-
-        Returns:
-            Whether a slot is free and no request of this node goes before.
-        """
-        if route.count_free_slots(state, self.site) < 1:
-            return False
-        pool = self._find_pool(state.backend.pool)
-        return all(rank <= waiting for waiting in pool.waiting.list_ranks())
-
-    def choose_owner(self, state: fleet.BackendState) -> str:
-        """Choose the node that owns a back end's ramp.
+    def list_waiting_ranks(self, name: str) -> list[int]:
+        """List the ranks that wait for a pool at this node.
 
         Args:
-            state: The back end.
+            name: The name of the pool.
 
         Returns:
-            The name of the node.
+            The ranks, the highest tier first.
         """
-        return ramp.choose_owner(
-            state.backend.name,
-            self._nodes_by_zone.get(state.backend.zone)
-            or tuple(self._iterate_nodes()),
-        )
+        return self._find_pool(name).waiting.list_ranks()
 
     def count_waiting(self) -> int:
         """Count the requests in all queues.
@@ -379,17 +323,14 @@
         """
         return sum(len(state.inflight) for state in self.fleet.by_name.values())
 
-    def count_sharing_nodes(self, zone: str) -> int:
-        """Count the nodes that share the back ends of a failure domain.
-
-        Args:
-            zone: The name of the failure domain.
+    def _update_place(self) -> None:
+        self.place.update(self.view, self.fleet)
+        self.tick()
 
-        Returns:
-            The live nodes, one at least.
-        """
-        everyone = sum(len(names) for names in self._nodes_by_zone.values())
-        return max(1, everyone)
+    def _grant_rank(self, waiting: queue.FairQueue, rank: int) -> None:
+        granted = True
+        while granted:
+            granted = self._grant_next(waiting, rank)
 
     def _grant_next(self, waiting: queue.FairQueue, rank: int) -> bool:
         for ticket in waiting.list_heads(rank):
@@ -409,26 +350,22 @@
     def _use_permit(
         self, state: fleet.BackendState, entry: request.Request
     ) -> None:
-        if self._needs_permit(state):
+        if route.needs_permit(state, self.place.current):
             permit_id = state.permits.pop()
             state.permit_by_request[entry.request_id] = permit_id
 
-    def _needs_permit(self, state: fleet.BackendState) -> bool:
-        owned = state.backend.name in self.site.owned
-        return fleet.needs_permit(state, owned, self.site.nodes)
-
     def _choose(self, ticket: queue.Ticket) -> fleet.BackendState | None:
         entry = ticket.request
         groups = route.group_candidates(
             self.view,
             self.fleet,
-            self.site,
+            self.place.current,
             entry,
         )
         for group in groups:
             if ticket.trial:
                 group = [state for state in group if not state.inflight]
-            chosen = route.choose_backend(group, self.site, entry)
+            chosen = route.choose_backend(group, self.place.current, entry)
             if chosen:
                 return chosen
         return None
@@ -476,39 +413,6 @@
             min(max(wait, 1), RETRY_CEILING_SECONDS),
         )
 
-    def _update_site(self) -> None:
-        if self.view is None:
-            return
-        closed = {
-            zone.name
-            for zone in self.view.zones_by_name.values()
-            if zone.state == 'out'
-        }
-        for order in self.order_by_zone.values():
-            (closed.add if order.state == 'out' else closed.discard)(order.zone)
-        names = [
-            name for names in self._nodes_by_zone.values() for name in names
-        ] or [self.identity.name]
-        owned = set()
-        for name, state in self.fleet.by_name.items():
-            mine = self.choose_owner(state) == self.identity.name
-            state.ramp.note_owner(mine)
-            if mine:
-                owned.add(name)
-        self.site = route.Site(
-            self.identity.name,
-            self.identity.zone,
-            len(names),
-            frozenset(owned),
-            frozenset(closed),
-        )
-
-    def _iterate_nodes(self) -> collections.abc.Iterator[str]:
-        for names in self._nodes_by_zone.values():
-            yield from names
-        if not self._nodes_by_zone:
-            yield self.identity.name
-
 
 def _keep_permit(state: fleet.BackendState, permit_id: str) -> None:
     """Keep a permit while no borrower is connected."""
--- a/pimentoway/ops/suspect.py
+++ b/pimentoway/ops/suspect.py
@@ -66,7 +66,7 @@
             return False
         others.add(sign.fingerprint)
         known = self._by_fingerprint.get(sign.fingerprint)
-        crashes = frozenset({sign.crash})
+        crashes = frozenset((sign.crash,))
         if known:
             crashes |= known.crashes
         trialled = sign.trial or bool(known and known.trialled)
--- a/pimentoway/parser/declaration.py
+++ b/pimentoway/parser/declaration.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import types
 
 from pimentoway.core import configuration, index
 from pimentoway.parser import ini
@@ -44,54 +45,60 @@
     return index.digest_key(text)
 
 
-_BACKEND_FIELDS = {
-    'address': ini.Field(ini.parse_address),
-    'zone': ini.Field(ini.parse_name),
-    'pool': ini.Field(ini.parse_name),
-    'version': ini.Field(ini.parse_name, 'v1'),
-    'leaving': ini.Field(ini.parse_truth, False),
-    'cold_slots': ini.Field(ini.parse_count, 1),
-    'cold_seconds': ini.Field(ini.parse_duration, 30.0),
-}
-
-_FIELDS_BY_KIND = {
-    'tier': {'rank': ini.Field(ini.parse_rank)},
-    'customer': {'weight': ini.Field(ini.parse_weight, 1.0)},
-    'caller': {
-        'customer': ini.Field(ini.parse_name),
-        'tier': ini.Field(ini.parse_name),
-        'key': ini.Field(parse_key, attribute='key_digest'),
-    },
-    'zone': {
-        'state': ini.Field(
-            parse_zone_state,
-            configuration.ZoneState.serving,
-        ),
-    },
-    'service': {
+_BACKEND_FIELDS = types.MappingProxyType(
+    {
+        'address': ini.Field(ini.parse_address),
+        'zone': ini.Field(ini.parse_name),
         'pool': ini.Field(ini.parse_name),
-        'repeatable': ini.Field(ini.parse_truth, True),
-        'deadline': ini.Field(ini.parse_duration, 30.0),
-        'max_body': ini.Field(ini.parse_count, 1_000_000),
-    },
-    'version': {'share': ini.Field(ini.parse_share, 1.0)},
-    'engine': {
-        **_BACKEND_FIELDS,
-        'checks_fencing': ini.Field(ini.parse_truth, False),
-    },
-    'application': _BACKEND_FIELDS,
-}
-
-_RECORD_BY_KIND = {
-    'tier': configuration.Tier,
-    'customer': configuration.Customer,
-    'caller': configuration.Caller,
-    'zone': configuration.Zone,
-    'service': configuration.Service,
-    'version': configuration.Version,
-    'engine': configuration.Engine,
-    'application': configuration.Application,
-}
+        'version': ini.Field(ini.parse_name, 'v1'),
+        'leaving': ini.Field(ini.parse_truth, False),
+        'cold_slots': ini.Field(ini.parse_count, 1),
+        'cold_seconds': ini.Field(ini.parse_duration, 30.0),
+    }
+)
+
+_FIELDS_BY_KIND = types.MappingProxyType(
+    {
+        'tier': {'rank': ini.Field(ini.parse_rank)},
+        'customer': {'weight': ini.Field(ini.parse_weight, 1.0)},
+        'caller': {
+            'customer': ini.Field(ini.parse_name),
+            'tier': ini.Field(ini.parse_name),
+            'key': ini.Field(parse_key, attribute='key_digest'),
+        },
+        'zone': {
+            'state': ini.Field(
+                parse_zone_state,
+                configuration.ZoneState.serving,
+            ),
+        },
+        'service': {
+            'pool': ini.Field(ini.parse_name),
+            'repeatable': ini.Field(ini.parse_truth, True),
+            'deadline': ini.Field(ini.parse_duration, 30.0),
+            'max_body': ini.Field(ini.parse_count, 1_000_000),
+        },
+        'version': {'share': ini.Field(ini.parse_share, 1.0)},
+        'engine': {
+            **_BACKEND_FIELDS,
+            'checks_fencing': ini.Field(ini.parse_truth, False),
+        },
+        'application': _BACKEND_FIELDS,
+    }
+)
+
+_RECORD_BY_KIND = types.MappingProxyType(
+    {
+        'tier': configuration.Tier,
+        'customer': configuration.Customer,
+        'caller': configuration.Caller,
+        'zone': configuration.Zone,
+        'service': configuration.Service,
+        'version': configuration.Version,
+        'engine': configuration.Engine,
+        'application': configuration.Application,
+    }
+)
 
 #: The attributes that name a record of another table.
 _REFERENCES = (
@@ -138,7 +145,8 @@
     before = len(document.faults)
     found = document.read_section(section, _FIELDS_BY_KIND[kind])
     if kind == 'version':
-        found['pool'], _, name = name.partition('/')
+        pool, _, name = name.partition('/')
+        found['pool'] = pool
     for part in (name, found.get('pool', name)):
         _check_name(document, section, part)
     if len(document.faults) > before:
@@ -194,7 +202,7 @@
                 'version',
                 f'no such version: {wanted}',
             )
-    pools = {backend.pool for backend in backends}
+    pools = {member.pool for member in backends}
     for service in tables.services:
         if service.pool not in pools:
             document.add_fault(
--- a/pimentoway/parser/ini.py
+++ b/pimentoway/parser/ini.py
@@ -5,11 +5,14 @@
 import dataclasses
 import ipaddress
 import re
+import types
 
 from pimentoway.core import error
 
 #: Seconds in each unit of time.
-SECONDS_BY_UNIT = {'ms': 0.001, 's': 1, 'm': 60, 'h': 3600}
+SECONDS_BY_UNIT = types.MappingProxyType(
+    {'ms': 0.001, 's': 1, 'm': 60, 'h': 3600},
+)
 
 #: Stands for a key that has no default.
 REQUIRED = object()
@@ -18,7 +21,7 @@
 _SECTION = re.compile(r'\[(.*)\]\s*$')
 _KEY = re.compile(r'([^\s=:#;\[][^=:]*?)\s*[=:]')
 _LAST_PORT = 65_535
-_TRUTH = {'yes': True, 'no': False}
+_TRUTH = types.MappingProxyType({'yes': True, 'no': False})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,16 +128,16 @@
         for key in present:
             if key not in fields:
                 self.add_fault(section, key, 'unknown key')
-        values = {}
+        found = {}
         for key, field in fields.items():
             try:
-                values[field.attribute or key] = _read_field(
+                found[field.attribute or key] = _read_field(
                     present.get(key),
                     field,
                 )
             except ValueError as fault:
                 self.add_fault(section, key, str(fault))
-        return values
+        return found
 
     def raise_faults(self) -> None:
         """Raise one error that lists all faults, if there are any.
@@ -192,10 +195,7 @@
         text: The text, as ``host:port``.
 
     Returns:
-        The address.
-
-    Raises:
-        ValueError: If it is none.
+        The address. A ``ValueError`` is raised if it is none.
     """
     host, _, port = text.rpartition(':')
     parse_host(host)
--- a/pimentoway/parser/setting.py
+++ b/pimentoway/parser/setting.py
@@ -1,6 +1,7 @@
 """The settings of an entry process, read from an INI file and checked whole."""
 
 import dataclasses
+import types
 
 from pimentoway.parser import ini
 
@@ -41,56 +42,64 @@
     gossip_port: int
     call_port: int
     platform: str
-    operators_digest: str = ''
-    peers: tuple[str, ...] = ()
-    platform_rate: float = 20
-    endpoint: str = ''
-    queue_tokens: int = 400_000
-    connect_seconds: float = 1
-    first_byte_seconds: float = 30
-    gap_seconds: float = 10
-    caller_seconds: float = 30
-    connections: int = 2000
-    shutdown_seconds: float = 120
-    notice_seconds: float = 5
+    operators_digest: str
+    peers: tuple[str, ...]
+    platform_rate: float
+    endpoint: str
+    queue_tokens: int
+    connect_seconds: float
+    first_byte_seconds: float
+    gap_seconds: float
+    caller_seconds: float
+    connections: int
+    shutdown_seconds: float
+    notice_seconds: float
 
 
-_FIELDS_BY_SECTION = {
-    'node': {
-        'name': ini.Field(ini.parse_name),
-        'zone': ini.Field(ini.parse_name),
-        'host': ini.Field(ini.parse_host),
-        'shutdown': ini.Field(ini.parse_duration, 120.0, 'shutdown_seconds'),
-        'notice': ini.Field(ini.parse_duration, 5.0, 'notice_seconds'),
-    },
-    'callers': {
-        'port': ini.Field(ini.parse_port, attribute='callers_port'),
-        'stall': ini.Field(ini.parse_duration, 30.0, 'caller_seconds'),
-        'connections': ini.Field(ini.parse_count, 2000),
-        'queue_tokens': ini.Field(ini.parse_count, 400_000),
-    },
-    'operators': {
-        'port': ini.Field(ini.parse_port, attribute='operators_port'),
-        'token_sha256': ini.Field(ini.parse_digest, '', 'operators_digest'),
-    },
-    'nodes': {
-        'gossip_port': ini.Field(ini.parse_port),
-        'call_port': ini.Field(ini.parse_port),
-        'peers': ini.Field(ini.parse_addresses, ()),
-    },
-    'platform': {
-        'address': ini.Field(ini.parse_address, attribute='platform'),
-        'calls_per_second': ini.Field(ini.parse_weight, 20.0, 'platform_rate'),
-    },
-    'backends': {
-        'connect': ini.Field(ini.parse_duration, 1.0, 'connect_seconds'),
-        'first_byte': ini.Field(ini.parse_duration, 30.0, 'first_byte_seconds'),
-        'gap': ini.Field(ini.parse_duration, 10.0, 'gap_seconds'),
-    },
-    'traces': {
-        'endpoint': ini.Field(str, ''),
-    },
-}
+_FIELDS_BY_SECTION = types.MappingProxyType(
+    {
+        'node': {
+            'name': ini.Field(ini.parse_name),
+            'zone': ini.Field(ini.parse_name),
+            'host': ini.Field(ini.parse_host),
+            'shutdown': ini.Field(
+                ini.parse_duration, 120.0, 'shutdown_seconds'
+            ),
+            'notice': ini.Field(ini.parse_duration, 5.0, 'notice_seconds'),
+        },
+        'callers': {
+            'port': ini.Field(ini.parse_port, attribute='callers_port'),
+            'stall': ini.Field(ini.parse_duration, 30.0, 'caller_seconds'),
+            'connections': ini.Field(ini.parse_count, 2000),
+            'queue_tokens': ini.Field(ini.parse_count, 400_000),
+        },
+        'operators': {
+            'port': ini.Field(ini.parse_port, attribute='operators_port'),
+            'token_sha256': ini.Field(ini.parse_digest, '', 'operators_digest'),
+        },
+        'nodes': {
+            'gossip_port': ini.Field(ini.parse_port),
+            'call_port': ini.Field(ini.parse_port),
+            'peers': ini.Field(ini.parse_addresses, ()),
+        },
+        'platform': {
+            'address': ini.Field(ini.parse_address, attribute='platform'),
+            'calls_per_second': ini.Field(
+                ini.parse_weight, 20.0, 'platform_rate'
+            ),
+        },
+        'backends': {
+            'connect': ini.Field(ini.parse_duration, 1.0, 'connect_seconds'),
+            'first_byte': ini.Field(
+                ini.parse_duration, 30.0, 'first_byte_seconds'
+            ),
+            'gap': ini.Field(ini.parse_duration, 10.0, 'gap_seconds'),
+        },
+        'traces': {
+            'endpoint': ini.Field(str, ''),
+        },
+    }
+)
 
 
 def read_settings(path: str, text: str) -> Settings:
--- a/pimentoway/platform/client.py
+++ b/pimentoway/platform/client.py
@@ -1,7 +1,7 @@
 """The client of the platform's object service over HTTP."""
 
 import random
-import urllib.parse
+from urllib import parse
 
 import gevent
 
@@ -130,7 +130,7 @@
         Returns:
             The objects and the revision from which to watch.
         """
-        query = urllib.parse.urlencode({'prefix': prefix})
+        query = parse.urlencode({'prefix': prefix})
         answer = self._repeat('GET', f'/objects/{kind}?{query}')
         return codec.decode_json(answer.body, store.Events, self._address)
 
@@ -206,7 +206,7 @@
 
 
 def _make_path(kind: str, name: str) -> str:
-    return f'/objects/{kind}/{urllib.parse.quote(name, safe="")}'
+    return f'/objects/{kind}/{parse.quote(name, safe="")}'
 
 
 def _check_status(answer: connection.Answer, step: str, peer: str) -> None:
--- a/pimentoway/platform/feed.py
+++ b/pimentoway/platform/feed.py
@@ -19,6 +19,9 @@
 #: Seconds between looks of a node that holds no watch.
 LOOK_SECONDS = 60
 
+#: The part by which the time between looks varies.
+LOOK_JITTER = 0.5
+
 #: Seconds between checks of whether the node has become a watcher.
 ROLE_SECONDS = 2
 
@@ -33,18 +36,18 @@
 
     def __init__(
         self,
-        objects: store.Store,
+        object_store: store.Store,
         held: keeper.Keeper,
         is_watcher: collections.abc.Callable[[], bool],
     ) -> None:
         """Connect the parts.
 
         Args:
-            objects: The object service.
+            object_store: The object service.
             held: The configuration that the node holds.
             is_watcher: Tells whether the node shall hold a watch.
         """
-        self._objects = objects
+        self._store = object_store
         self._held = held
         self._is_watcher = is_watcher
 
@@ -65,7 +68,7 @@
         Returns:
             The revision from which to watch.
         """
-        listed = self._objects.list_objects(store.CONFIGURATION_KIND)
+        listed = self._store.list_objects(store.CONFIGURATION_KIND)
         for found in listed.changed:
             self._adopt(found)
         return listed.revision
@@ -76,7 +79,7 @@
             self._wait_for_role()
             return
         while self._is_watcher():
-            events = self._objects.watch(
+            events = self._store.watch(
                 store.CONFIGURATION_KIND,
                 revision,
                 WATCH_SECONDS,
@@ -86,7 +89,7 @@
             revision = events.revision
 
     def _wait_for_role(self) -> None:
-        left = LOOK_SECONDS * random.uniform(0.5, 1.5)
+        left = LOOK_SECONDS * random.uniform(1 - LOOK_JITTER, 1 + LOOK_JITTER)
         while left > 0 and not self._is_watcher():
             gevent.sleep(ROLE_SECONDS)
             left -= ROLE_SECONDS
@@ -100,5 +103,5 @@
             return
         snapshot = None
         if stored.snapshot > have:
-            snapshot = head.read_snapshot(self._objects, stored.snapshot)
+            snapshot = head.read_snapshot(self._store, stored.snapshot)
         self._held.adopt(snapshot, stored.changes)
--- a/pimentoway/platform/head.py
+++ b/pimentoway/platform/head.py
@@ -54,16 +54,16 @@
     version: int
 
 
-def read_head(objects: store.Store) -> Stored:
+def read_head(object_store: store.Store) -> Stored:
     """Read the head.
 
     Args:
-        objects: The object service.
+        object_store: The object service.
 
     Returns:
         The head; an empty one if nothing was accepted yet.
     """
-    found = objects.read(store.CONFIGURATION_KIND, HEAD_NAME)
+    found = object_store.read(store.CONFIGURATION_KIND, HEAD_NAME)
     return decode_head(found)
 
 
@@ -85,12 +85,12 @@
 
 
 def read_snapshot(
-    objects: store.Store, version: int
+    object_store: store.Store, version: int
 ) -> configuration.Configuration:
     """Read a snapshot.
 
     Args:
-        objects: The object service.
+        object_store: The object service.
         version: The version of the configuration.
 
     Returns:
@@ -101,7 +101,7 @@
     """
     if not version:
         return configuration.Configuration()
-    found = objects.read(store.SNAPSHOT_KIND, str(version))
+    found = object_store.read(store.SNAPSHOT_KIND, str(version))
     if not found.version:
         raise error.PlatformRefusedError(
             f'snapshot {version} is missing',
@@ -115,38 +115,40 @@
     )
 
 
-def read_configuration(objects: store.Store) -> configuration.Configuration:
+def read_configuration(
+    object_store: store.Store,
+) -> configuration.Configuration:
     """Read the configuration in force.
 
     Args:
-        objects: The object service.
+        object_store: The object service.
 
     Returns:
         The configuration.
     """
-    return restore_configuration(objects, read_head(objects).head)
+    return restore_configuration(object_store, read_head(object_store).head)
 
 
 def restore_configuration(
-    objects: store.Store, head: Head
+    object_store: store.Store, head: Head
 ) -> configuration.Configuration:
     """Restore the configuration that a head describes.
 
     Args:
-        objects: The object service.
+        object_store: The object service.
         head: The head.
 
     Returns:
         The configuration.
     """
-    current = read_snapshot(objects, head.snapshot)
+    current = read_snapshot(object_store, head.snapshot)
     for change in head.changes:
         current = configuration.apply_change(current, change)
     return current
 
 
 def accept_change(
-    objects: store.Store, change: configuration.Change
+    object_store: store.Store, change: configuration.Change
 ) -> configuration.Change:
     """Accept a change by one conditional update.
 
@@ -154,22 +156,23 @@
     identifier, so that the answer is true in either case.
 
     Args:
-        objects: The object service.
+        object_store: The object service.
         change: The change; its version is the one after that which its
             author saw.
 
     Returns:
-        The change as accepted.
+        The change as accepted. A ``PlatformConflictError`` is raised if
+        another change came first.
 
     Raises:
-        PlatformConflictError: If another change came first.
         PlatformAmbiguousError: If it could not be learnt what became of it.
+        PlatformUnavailableError: If the platform can't be reached.
     """
     unsure = False
     for attempt in range(ATTEMPTS):
         gevent.sleep(random.uniform(0, PAUSE_SECONDS) * attempt)
         try:
-            return _try_accept(objects, change)
+            return _try_accept(object_store, change)
         except error.PlatformAmbiguousError:
             unsure = True
         except error.PlatformUnavailableError:
@@ -200,26 +203,26 @@
 
 
 def _try_accept(
-    objects: store.Store, change: configuration.Change
+    object_store: store.Store, change: configuration.Change
 ) -> configuration.Change:
-    stored = read_head(objects)
+    stored = read_head(object_store)
     known = find_change(stored.head, change.change_id)
     if known:
         return known
     if change.version != stored.head.version + 1:
         raise _make_conflict(stored.head, change)
     try:
-        objects.write(
+        object_store.write(
             store.CONFIGURATION_KIND,
             HEAD_NAME,
             codec.encode_json(
-                _extend_head(objects, stored.head, change)
+                _extend_head(object_store, stored.head, change)
             ).decode(),
             stored.version,
         )
     except error.PlatformConflictError as fault:
         # The other writer may be an earlier attempt whose answer was lost.
-        renewed = read_head(objects).head
+        renewed = read_head(object_store).head
         known = find_change(renewed, change.change_id)
         if known:
             return known
@@ -228,23 +231,23 @@
 
 
 def _extend_head(
-    objects: store.Store, head: Head, change: configuration.Change
+    object_store: store.Store, head: Head, change: configuration.Change
 ) -> Head:
     extended = Head(change.version, head.snapshot, head.changes + (change,))
     if len(codec.encode_json(extended)) <= HEAD_BYTES:
         return extended
-    snapshot = restore_configuration(objects, head)
-    _write_snapshot(objects, snapshot)
+    snapshot = restore_configuration(object_store, head)
+    _write_snapshot(object_store, snapshot)
     return Head(change.version, snapshot.version, (change,))
 
 
 def _write_snapshot(
-    objects: store.Store, snapshot: configuration.Configuration
+    object_store: store.Store, snapshot: configuration.Configuration
 ) -> None:
     body = codec.encode_json(snapshot).decode()
     name = str(snapshot.version)
     try:
-        objects.write(store.SNAPSHOT_KIND, name, body, 0)
+        object_store.write(store.SNAPSHOT_KIND, name, body, 0)
     except error.PlatformConflictError:
         # A snapshot of a version is always the same.
         return
--- a/pimentoway/standin/engine.py
+++ b/pimentoway/standin/engine.py
@@ -127,7 +127,9 @@
         """
         key = req.get_header(exchange.KEY_HEADER, default='')
         body = req.bounded_stream.read()
-        resp.data = self._application.call(key, body)
+        request_id = req.get_header(exchange.REQUEST_HEADER, default='')
+        effect = model.Effect(key, body, request_id)
+        resp.data = self._application.call(effect)
         resp.content_type = falcon.MEDIA_JSON
         _add_load(resp, self._application)
 
@@ -279,11 +281,20 @@
     for number, text in engine.read(run, after):
         payload = event.DONE
         if text is not None:
-            payload = _encode_chunk(run, text)
+            payload = encode_chunk(run, text)
         yield b'id: %d\ndata: %b\n\n' % (number, payload)
 
 
-def _encode_chunk(run: model.Run, text: str) -> bytes:
+def encode_chunk(run: model.Run, text: str) -> bytes:
+    """Encode a token as a chunk of a streamed chat completion.
+
+    Args:
+        run: The run.
+        text: The text of the token.
+
+    Returns:
+        The JSON text.
+    """
     choice = event.Choice(event.Delta(text))
     return codec.encode_json(
         {
@@ -314,8 +325,11 @@
             'state': entry.state.value,
             'tokens': len(entry.tokens),
         }
-    key, body = entry
-    return {'key': key, 'body': body.decode(errors='replace')}
+    return {
+        'key': entry.key,
+        'run_id': entry.request_id,
+        'body': entry.body.decode(errors='replace'),
+    }
 
 
 def _break_off(req, resp, fault: error.CutError, params) -> None:
--- a/pimentoway/standin/model.py
+++ b/pimentoway/standin/model.py
@@ -13,7 +13,7 @@
 import uuid
 
 import gevent
-import gevent.event
+from gevent import event as gevent_event
 
 from pimentoway.core import clock, error, request
 from pimentoway.ops import fleet
@@ -21,6 +21,9 @@
 #: The text in a prompt that crashes every engine that runs it.
 POISON = 'crash-the-engine'
 
+#: The reports that are kept, for the lag.
+KEPT_REPORTS = 200
+
 #: The finished runs that can still be resumed.
 KEPT_RUNS = 2000
 
@@ -98,8 +101,8 @@
     tokens: list[str] = dataclasses.field(default_factory=list)
     started: float = 0
     state: RunState = RunState.waiting
-    changed: gevent.event.Event = dataclasses.field(
-        default_factory=gevent.event.Event,
+    changed: gevent_event.Event = dataclasses.field(
+        default_factory=gevent_event.Event,
     )
 
     def notify(self) -> None:
@@ -133,14 +136,14 @@
         self.crashes = 0
         self.prefill_tokens = 0
         self.peak_cold = 0
-        self.down_until = 0.0
+        self.down_until: float = 0
         self.draining = False
         self._boots = itertools.count(1)
         self._prefixes: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
         self._reports: collections.deque[tuple[float, fleet.Report]] = (
-            collections.deque(maxlen=200)
+            collections.deque(maxlen=KEPT_REPORTS)
         )
         self.start()
 
@@ -295,11 +298,7 @@
         return sum(1 for run in self.runs_by_id.values() if run.state is state)
 
     def _generate(self, run: Run) -> None:
-        boot = self.boot
-        while run.state is RunState.waiting and self._count(
-            RunState.running
-        ) >= (self.traits.slots):
-            gevent.sleep(self.traits.gap)
+        self._await_batch(run)
         if run.state is not RunState.waiting:
             return
         run.state = RunState.running
@@ -310,16 +309,26 @@
             self.crash()
         while run.state is RunState.running and len(run.tokens) < run.length:
             gevent.sleep(self._measure_gap())
-            if self.traits.frozen or boot != self.boot:
-                continue
-            number = len(run.tokens) + 1
-            text = '' if self.traits.blank else f'{run.fingerprint}-{number} '
-            run.tokens.append(text)
-            run.notify()
+            self._add_token(run)
         if run.state is RunState.running:
             run.state = RunState.done
             run.notify()
 
+    def _await_batch(self, run: Run) -> None:
+        while run.state is RunState.waiting and self._is_full():
+            gevent.sleep(self.traits.gap)
+
+    def _is_full(self) -> bool:
+        return self._count(RunState.running) >= self.traits.slots
+
+    def _add_token(self, run: Run) -> None:
+        if self.traits.frozen or run.state is not RunState.running:
+            return
+        number = len(run.tokens) + 1
+        text = '' if self.traits.blank else f'{run.fingerprint}-{number} '
+        run.tokens.append(text)
+        run.notify()
+
     def _measure_gap(self) -> float:
         traits = self.traits
         busy = 1 + self._count(RunState.running) / traits.slots
@@ -354,13 +363,28 @@
             raise error.CutError('stream dropped', 'read', self.name)
 
 
+@dataclasses.dataclass(frozen=True)
+class Effect:
+    """A call of an application that took effect.
+
+    Attributes:
+        key: The idempotency key.
+        body: The body.
+        request_id: The identifier of the request.
+    """
+
+    key: str
+    body: bytes
+    request_id: str
+
+
 class ApplicationModel:
     """A plain service.
 
     Attributes:
         name: Its name.
         seconds: Seconds that a call takes.
-        ledger: The key and body of every call that took effect, in order.
+        ledger: Every call that took effect, in order.
     """
 
     def __init__(self, name: str, seconds: float = 0.05) -> None:
@@ -374,17 +398,16 @@
         self.seconds = seconds
         self.boot = f'{name}-{uuid.uuid4().hex[:6]}'
         self.started = clock.read_monotonic()
-        self.ledger: list[tuple[str, bytes]] = []
+        self.ledger: list[Effect] = []
         self.running = 0
         self.lost_answers = 0
         self.down = False
 
-    def call(self, key: str, body: bytes) -> bytes:
+    def call(self, effect: Effect) -> bytes:
         """Run a call.
 
         Args:
-            key: The idempotency key, which it ignores.
-            body: The body.
+            effect: What the call does; the key is ignored.
 
         Returns:
             The answer.
@@ -392,7 +415,7 @@
         Raises:
             CutError: If the answer is lost.
         """
-        self.ledger.append((key, body))
+        self.ledger.append(effect)
         self.running += 1
         try:
             gevent.sleep(self.seconds)
@@ -404,6 +427,14 @@
         number = len(self.ledger)
         return b'{"served_by":"%s","number":%d}' % (self.name.encode(), number)
 
+    def is_down(self) -> bool:
+        """Tell whether it refuses connections.
+
+        Returns:
+            Whether it is down.
+        """
+        return self.down
+
     def report(self) -> fleet.Report:
         """Report the load.
 
--- a/pimentoway/standin/store.py
+++ b/pimentoway/standin/store.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 import gevent
-import gevent.event
+from gevent import event as gevent_event
 
 from pimentoway.core import clock, error
 from pimentoway.platform import store
@@ -19,6 +19,8 @@
 #: The events that are kept for watches.
 KEPT_EVENTS = 1000
 
+Machines = tuple[store.Machine, ...]
+
 _PEER = 'platform'
 
 
@@ -59,8 +61,8 @@
         self._events: collections.deque[tuple[int, store.Object]] = (
             collections.deque(maxlen=KEPT_EVENTS)
         )
-        self._changed = gevent.event.Event()
-        self._machines: list[tuple[float, tuple[store.Machine, ...]]] = []
+        self._changed = gevent_event.Event()
+        self._machines: list[tuple[float, Machines]] = []
 
     def read(self, kind: str, name: str) -> store.Object:
         """Read an object, see ``Store.read``.
@@ -169,7 +171,7 @@
                 known = machines
         return known
 
-    def set_machines(self, machines: tuple[store.Machine, ...]) -> None:
+    def replace_machines(self, machines: tuple[store.Machine, ...]) -> None:
         """Set the list of VMs.
 
         Args:
--- /dev/null
+++ b/pimentoway/standin/world.py
@@ -0,0 +1,470 @@
+"""A small world for tests: nodes, stand-ins and a network in one process.
+
+The nodes are the real ones; only their peers are fakes. Outcomes are judged
+by what the stand-ins ran and by what callers were told.
+"""
+
+import dataclasses
+import itertools
+
+import gevent
+
+from pimentoway.backends import exchange
+from pimentoway.callers import app as callers_app
+from pimentoway.core import clock, codec, configuration, error, index, request
+from pimentoway.parser import setting
+from pimentoway.platform import head
+from pimentoway.standin import model, network, paused_loop, store
+from pimentoway.tools import node as tools_node
+
+#: The pool of the engines.
+TEXT_POOL = 'text'
+
+#: The pool of the applications.
+TAG_POOL = 'tags'
+
+#: The service of the engines.
+CAPTIONS = 'captions'
+
+#: The unrepeatable service of the applications.
+RELEASES = 'releases'
+
+#: Seconds until nodes know each other and have a configuration.
+SETTLE_SECONDS = 8
+
+_DECIMAL_PORT = 9000
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """What a world consists of.
+
+    Attributes:
+        zones: The failure domains.
+        nodes: The nodes in each.
+        engines: The traits of the engines in each.
+        applications: The applications in each.
+        tiers: The number of tiers; the first is the highest.
+        customers: The number of customers.
+        deadline: Seconds that a request may take.
+        cold_slots: The requests that a cold back end bears, as declared.
+        cold_seconds: Seconds for which a back end counts as cold.
+        queue_tokens: The tokens that may wait in one queue.
+    """
+
+    zones: tuple[str, ...] = ('norte', 'sur')
+    nodes: int = 2
+    engines: tuple[model.Traits, ...] = (model.Traits(), model.Traits())
+    applications: int = 1
+    tiers: int = 2
+    customers: int = 2
+    deadline: float = 20
+    cold_slots: int = 2
+    cold_seconds: float = 1
+    queue_tokens: int = 400_000
+
+
+@dataclasses.dataclass
+class Attempt:
+    """A caller's request and what became of it.
+
+    Attributes:
+        request_id: The identifier of the request.
+        sent: When it was sent.
+        ended: When its final answer came; 0 before.
+        outcome: ``answered``, a type of refusal, or nothing yet.
+        fault: The error, if any.
+        text: The text of the answer.
+        rank: The rank of the caller's tier.
+        customer: The name of the customer.
+        first: When the first piece came; 0 before.
+        key: The idempotency key, if any.
+        tokens: The tokens of the answer.
+    """
+
+    request_id: str
+    sent: float
+    rank: int
+    customer: str
+    key: str = ''
+    ended: float = 0
+    outcome: str = ''
+    fault: error.PimentowayError | None = None
+    text: str = ''
+    first: float = 0
+    tokens: int = 0
+
+
+class World:
+    """The nodes and their stand-ins.
+
+    Attributes:
+        shape: What the world consists of.
+        network: The network.
+        platform: The platform's object service.
+        engines_by_name: The engines.
+        applications_by_name: The applications.
+        nodes_by_name: The living nodes.
+        hosts_by_name: The machines of all nodes that ever were.
+        attempts: All requests, in order.
+        tables: The declarations in force.
+    """
+
+    def __init__(self, shape: Shape) -> None:
+        """Build a world and let it settle.
+
+        Args:
+            shape: What it consists of.
+        """
+        paused_loop.restart_tasks(0)
+        self.shape = shape
+        self.network = network.Network()
+        self.platform = store.MemoryStore()
+        self.engines_by_name: dict[str, model.EngineModel] = {}
+        self.applications_by_name: dict[str, model.ApplicationModel] = {}
+        self.nodes_by_name: dict[str, tools_node.Node] = {}
+        self.hosts_by_name: dict[str, network.Host] = {}
+        self.attempts: list[Attempt] = []
+        self._ports = itertools.count(_DECIMAL_PORT)
+        self._numbers = itertools.count(1)
+        self.tables = self._build_tables()
+        self.apply(self.tables)
+        for zone in shape.zones:
+            for _ in range(shape.nodes):
+                self.start_node(zone)
+        self.advance(SETTLE_SECONDS)
+
+    def advance(self, seconds: float) -> None:
+        """Advance the clock.
+
+        Args:
+            seconds: By how much.
+        """
+        paused_loop.advance(seconds)
+
+    def apply(self, tables: configuration.Tables) -> None:
+        """Make declarations the configuration.
+
+        Args:
+            tables: The declarations.
+        """
+        self.tables = tables
+        applied = gevent.spawn(_apply, self.platform, tables)
+        while not applied.ready():
+            self.advance(network.LATENCY_SECONDS)
+        applied.get()
+
+    def start_node(self, zone: str) -> tools_node.Node:
+        """Start a node.
+
+        Args:
+            zone: Its failure domain.
+
+        Returns:
+            The node.
+        """
+        name = f'entry-{zone}-{next(self._numbers)}'
+        host = network.Host(self.network, zone)
+        gossip = self._take_address(zone)
+        calls = self._take_address(zone)
+        settings = self._make_settings(name, zone, (gossip, calls))
+        peers = tools_node.Peers(
+            network.FakeStore(host, self.platform),
+            network.FakeTransport(host),
+            network.FakeCalls(host),
+        )
+        link = dataclasses.replace(
+            tools_node.make_link(settings),
+            pool=network.FakePool(host),
+        )
+        started = tools_node.Node(settings, peers, link)
+        self.network.gossip_by_address[gossip] = started.gossiper.receive
+        self.network.relay_by_address[calls] = started.relay
+        self.nodes_by_name[name] = started
+        self.hosts_by_name[name] = host
+        started.start()
+        return started
+
+    def kill_node(self, name: str) -> None:
+        """Kill a node with all that it does.
+
+        Args:
+            name: Its name.
+        """
+        killed = self.nodes_by_name.pop(name)
+        self.hosts_by_name[name].kill()
+        killed.stop()
+        own = killed.members.own
+        self.network.gossip_by_address.pop(own.gossip)
+        self.network.relay_by_address.pop(own.calls)
+
+    def chat(
+        self,
+        node: tools_node.Node,
+        customer: int = 0,
+        rank: int = 0,
+        tokens: int = 10,
+        prompt: str = 'A caption.',
+    ) -> Attempt:
+        """Send a chat to a node.
+
+        Args:
+            node: The node.
+            customer: The number of the customer.
+            rank: The rank of the caller's tier.
+            tokens: The longest answer.
+            prompt: The prompt.
+
+        Returns:
+            The attempt, which goes on while the clock advances.
+        """
+        body = codec.encode_json(
+            {
+                'model': CAPTIONS,
+                'messages': [{'role': 'user', 'content': prompt}],
+                'max_tokens': tokens,
+                'stream': True,
+            },
+        )
+        return self._send(
+            node,
+            self._make_request(
+                CAPTIONS,
+                (customer, rank),
+                body=body,
+                prompt_tokens=max(1, len(prompt) // request.BYTES_PER_TOKEN),
+                output_tokens=tokens,
+                stream=True,
+                prefixes=request.digest_prefixes(prompt.encode()),
+            ),
+        )
+
+    def release(
+        self,
+        node: tools_node.Node,
+        key: str,
+        customer: int = 0,
+        body: bytes = b'{"tag":1}',
+    ) -> Attempt:
+        """Send an unrepeatable call to a node.
+
+        Args:
+            node: The node.
+            key: The idempotency key.
+            customer: The number of the customer.
+            body: The body.
+
+        Returns:
+            The attempt, which goes on while the clock advances.
+        """
+        return self._send(
+            node,
+            self._make_request(
+                RELEASES,
+                (customer, 0),
+                body=body,
+                key=key,
+                path='tags',
+            ),
+        )
+
+    def count_runs(self, key: str) -> int:
+        """Count how often an unrepeatable call took effect.
+
+        Args:
+            key: Its idempotency key.
+
+        Returns:
+            The times that any application ran it.
+        """
+        return sum(
+            1
+            for application in self.applications_by_name.values()
+            for effect in application.ledger
+            if effect.key == key
+        )
+
+    def list_runs(self) -> list[model.Run]:
+        """List all runs of all engines.
+
+        Returns:
+            The runs.
+        """
+        engines = self.engines_by_name.values()
+        return [run for engine in engines for run in engine.ledger]
+
+    def list_nodes(self, zone: str = '') -> list[tools_node.Node]:
+        """List the living nodes.
+
+        Args:
+            zone: The failure domain, or nothing for all.
+
+        Returns:
+            The nodes.
+        """
+        return [
+            node
+            for node in self.nodes_by_name.values()
+            if zone in {'', node.settings.zone}
+        ]
+
+    def _send(self, node: tools_node.Node, entry: request.Request) -> Attempt:
+        attempt = Attempt(
+            entry.request_id,
+            clock.read_monotonic(),
+            entry.rank,
+            entry.caller.customer,
+            entry.key,
+        )
+        self.attempts.append(attempt)
+        gevent.spawn(_follow, node, entry, attempt)
+        return attempt
+
+    def _make_request(
+        self, service: str, sender: tuple[int, int], **traits: object
+    ) -> request.Request:
+        customer, rank = sender
+        number = next(self._numbers)
+        caller = configuration.Caller(
+            f'caller-{customer}-{rank}',
+            f'customer-{customer}',
+            f'tier-{rank}',
+            index.digest_key(f'key-{customer}-{rank}'),
+        )
+        services = {found.name: found for found in self.tables.services}
+        return request.Request(
+            request_id=f'req-{number}',
+            caller=caller,
+            rank=rank,
+            weight=1,
+            service=services[service],
+            deadline=clock.read_monotonic() + self.shape.deadline,
+            **traits,
+        )
+
+    def _take_address(self, zone: str) -> str:
+        address = f'127.0.0.1:{next(self._ports)}'
+        self.network.zone_by_address[address] = zone
+        return address
+
+    def _make_settings(
+        self, name: str, zone: str, addresses: tuple[str, str]
+    ) -> setting.Settings:
+        gossip, calls = addresses
+        ports = [address.partition(':')[2] for address in addresses]
+        seeds = ', '.join(list(self.network.gossip_by_address)[:4])
+        return setting.read_settings(
+            name,
+            f'[node]\nname = {name}\nzone = {zone}\nhost = 127.0.0.1\n'
+            '[callers]\nport = 1\n'
+            f'queue_tokens = {self.shape.queue_tokens}\n'
+            '[operators]\nport = 2\n'
+            f'[nodes]\ngossip_port = {ports[0]}\ncall_port = {ports[1]}\n'
+            f'peers = {seeds}\n[platform]\naddress = 127.0.0.1:3\n',
+        )
+
+    def _build_tables(self) -> configuration.Tables:
+        engines = []
+        applications = []
+        for zone in self.shape.zones:
+            for number, traits in enumerate(self.shape.engines):
+                name = f'engine-{zone}-{number}'
+                served = model.EngineModel(name, dataclasses.replace(traits))
+                self.engines_by_name[name] = served
+                fields = self._place_backend(name, zone, TEXT_POOL, served)
+                engines.append(configuration.Engine(**fields))
+            for position in range(self.shape.applications):
+                name = f'application-{zone}-{position}'
+                plain = model.ApplicationModel(name)
+                self.applications_by_name[name] = plain
+                fields = self._place_backend(name, zone, TAG_POOL, plain)
+                applications.append(configuration.Application(**fields))
+        return configuration.Tables(
+            tiers=tuple(
+                configuration.Tier(f'tier-{rank}', rank)
+                for rank in range(self.shape.tiers)
+            ),
+            customers=tuple(
+                configuration.Customer(f'customer-{one}')
+                for one in range(self.shape.customers)
+            ),
+            zones=tuple(configuration.Zone(zone) for zone in self.shape.zones),
+            services=(
+                configuration.Service(
+                    CAPTIONS,
+                    TEXT_POOL,
+                    deadline=self.shape.deadline,
+                ),
+                configuration.Service(
+                    RELEASES,
+                    TAG_POOL,
+                    repeatable=False,
+                    deadline=self.shape.deadline,
+                ),
+            ),
+            versions=(
+                configuration.Version('v1', TEXT_POOL),
+                configuration.Version('v1', TAG_POOL),
+            ),
+            engines=tuple(engines),
+            applications=tuple(applications),
+        )
+
+    def _place_backend(
+        self, name: str, zone: str, pool: str, served: object
+    ) -> dict[str, object]:
+        address = self._take_address(zone)
+        self.network.served_by_address[address] = served
+        return {
+            'name': name,
+            'address': address,
+            'zone': zone,
+            'pool': pool,
+            'version': 'v1',
+            'cold_slots': self.shape.cold_slots,
+            'cold_seconds': self.shape.cold_seconds,
+        }
+
+
+def _apply(
+    object_store: store.MemoryStore, tables: configuration.Tables
+) -> None:
+    current = head.read_configuration(object_store)
+    puts, removals = configuration.compare_tables(current.tables, tables)
+    head.accept_change(
+        object_store,
+        configuration.Change(
+            current.version + 1,
+            f'change-{current.version + 1}',
+            'test',
+            puts,
+            removals,
+        ),
+    )
+
+
+def _follow(
+    node: tools_node.Node, entry: request.Request, attempt: Attempt
+) -> None:
+    texts = []
+    try:
+        for piece in callers_app.Visit(node.desk, entry).run():
+            attempt.first = attempt.first or clock.read_monotonic()
+            attempt.tokens += piece.tokens
+            texts.append(_read_text(piece))
+    except error.PimentowayError as fault:
+        attempt.fault = fault
+        attempt.outcome = callers_app.answer.classify_outcome(fault)
+    else:
+        attempt.outcome = 'answered'
+    attempt.text = ''.join(texts)
+    attempt.ended = clock.read_monotonic()
+
+
+def _read_text(piece: request.Piece) -> str:
+    if piece.payload == exchange.event.DONE:
+        return ''
+    if piece.content_type != exchange.event.STREAM_TYPE:
+        return piece.payload.decode()
+    chunk = codec.decode_json(piece.payload, exchange.event.Chunk)
+    return ''.join(choice.delta.content or '' for choice in chunk.choices)
--- a/pimentoway/tools/command.py
+++ b/pimentoway/tools/command.py
@@ -7,17 +7,20 @@
 import getpass
 import pathlib
 import uuid
+from importlib import metadata
 
 import msgspec
 from cleo import application, helpers
 from cleo.commands import command
 
-import pimentoway
 from pimentoway.core import codec, configuration, connection, error, index
 from pimentoway.parser import declaration, setting
 from pimentoway.platform import client, head
 from pimentoway.tools import entry
 
+#: The version of the program.
+VERSION = metadata.version('pimentoway')
+
 _FAILED = 1
 _WRONG = 2
 _UNKNOWN = 3
@@ -49,10 +52,7 @@
         """
         try:
             return self.work()
-        except error.SettingError as fault:
-            self.line_error(fault.reason)
-            return _WRONG
-        except (OSError, ValueError) as fault:
+        except (error.SettingError, OSError, ValueError) as fault:
             self.line_error(str(fault))
             return _WRONG
         except (error.PlatformAmbiguousError, error.CutError) as fault:
@@ -152,9 +152,9 @@
         Returns:
             The exit status.
         """
-        objects = client.HttpStore(self.require('platform'), _RATE)
+        object_store = client.HttpStore(self.require('platform'), _RATE)
         tables = _read_tables(self.argument('file'))
-        current = head.read_configuration(objects)
+        current = head.read_configuration(object_store)
         puts, removals = configuration.compare_tables(current.tables, tables)
         change = configuration.Change(
             current.version + 1,
@@ -169,7 +169,7 @@
         ):
             self._print(change, current.version)
             return 0
-        accepted = head.accept_change(objects, change)
+        accepted = head.accept_change(object_store, change)
         self._print(accepted, accepted.version)
         return 0
 
@@ -303,7 +303,7 @@
     Returns:
         The exit status.
     """
-    program = application.Application('pimentoway', pimentoway.__version__)
+    program = application.Application('pimentoway', VERSION)
     for kind in (
         EntryCommand,
         CheckCommand,
--- a/pimentoway/tools/demo.py
+++ b/pimentoway/tools/demo.py
@@ -3,6 +3,7 @@
 import pathlib
 import shutil
 import sys
+import types
 import uuid
 
 import gevent
@@ -15,12 +16,14 @@
 _STANDIN_ARCHIVE = pathlib.Path('dist/pimentoway-standin')
 _REQUESTS = 4
 _OK = 200
-_CHAT = {
-    'model': 'captions',
-    'messages': [{'role': 'user', 'content': 'A caption for page one.'}],
-    'max_tokens': 8,
-    'stream': True,
-}
+_CHAT = types.MappingProxyType(
+    {
+        'model': 'captions',
+        'messages': [{'role': 'user', 'content': 'A caption for page one.'}],
+        'max_tokens': 8,
+        'stream': True,
+    }
+)
 
 
 def run() -> int:
@@ -76,7 +79,7 @@
         entry.address,
         'POST',
         '/v1/chat/completions',
-        codec.encode_json(_CHAT),
+        codec.encode_json(dict(_CHAT)),
         local.authorize(local.URGENT_KEY),
     )
     events = answer.body.decode().split('\n\n')
--- a/pimentoway/tools/entry.py
+++ b/pimentoway/tools/entry.py
@@ -4,7 +4,7 @@
 import sys
 
 import gevent
-import gevent.event
+from gevent import event as gevent_event
 from gevent import pywsgi
 
 from pimentoway.callers import app as callers_app
@@ -46,7 +46,7 @@
     )
     served = node.Node(settings, peers, node.make_link(settings))
     udp.start(served.gossiper.receive)
-    calls.serve(settings.host, settings.call_port, served)
+    calls.serve(settings.host, settings.call_port, served.relay)
     servers = _make_servers(settings, served)
     for listening in servers:
         listening.start()
@@ -86,7 +86,7 @@
 
 
 def _wait_for_signal() -> None:
-    asked = gevent.event.Event()
+    asked = gevent_event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, asked.set)
     asked.wait()
--- a/pimentoway/tools/local.py
+++ b/pimentoway/tools/local.py
@@ -1,11 +1,12 @@
-"""A deployment on one machine: stand-ins and entry processes, for the demo,
-the benchmarks and the tests with real processes.
+"""A deployment on one machine: stand-ins and entry processes.
 
-Nothing of the system starts a process; this script does, from outside.
+The demo, the benchmarks and the tests with real processes use it. Nothing of
+the system starts a process; this script does, from outside.
 """
 
 import contextlib
 import dataclasses
+import itertools
 import os
 import pathlib
 import signal
@@ -29,6 +30,9 @@
 #: The key of the caller of the lowest tier.
 BATCH_KEY = 'key-archive'
 
+#: The ports set aside for each process.
+PORTS_A_PROCESS = 10
+
 #: Seconds until every process answers.
 START_SECONDS = 60
 
@@ -133,7 +137,7 @@
         self.layout = layout
         self.folder = folder
         self.process_by_name: dict[str, subprocess.Popen] = {}
-        ports = iter(range(layout.base_port, layout.base_port + 10_000, 10))
+        ports = itertools.count(layout.base_port, PORTS_A_PROCESS)
         self.platform = Place('platform', '', next(ports))
         self.entries = [
             Place(f'entry-{zone}-{number}', zone, next(ports))
@@ -227,7 +231,7 @@
         parts += [
             _format_backend('application', one) for one in self.applications
         ]
-        text = '\n\n'.join(parts) + '\n'
+        text = '\n\n'.join([*parts, ''])
         declaration.read_declarations('declarations.ini', text)
         return text
 
--- a/pimentoway/tools/node.py
+++ b/pimentoway/tools/node.py
@@ -22,7 +22,7 @@
     metric,
     trace,
 )
-from pimentoway.nodes import gossip, member, message
+from pimentoway.nodes import gossip, member, message, relay
 from pimentoway.ops import (
     claim,
     dispatch,
@@ -48,6 +48,9 @@
 #: Seconds between looks at the platform's list of machines.
 MACHINES_SECONDS = 30
 
+#: The part by which pauses between looks vary.
+JITTER = 0.5
+
 #: Seconds between checks of whether a draining node has finished.
 DRAIN_CHECK_SECONDS = 0.1
 
@@ -59,14 +62,14 @@
     """The peers of a node.
 
     Attributes:
-        objects: The platform's object service.
+        object_store: The platform's object service.
         transport: Carries gossip.
         calls: Makes calls to other nodes.
     """
 
-    objects: store.Store
+    object_store: store.Store
     transport: gossip.Transport
-    calls: object
+    calls: relay.Calls
 
 
 class Node:
@@ -76,6 +79,7 @@
         settings: Its settings.
         plan: The scheduler.
         held: The configuration that it holds.
+        relay: Answers the calls of other nodes and makes calls to them.
         members: The members that it knows.
         desk: What the callers' interface needs.
         leaving: Whether it shuts down.
@@ -122,7 +126,7 @@
         self.runner = once.OnceRunner(
             self.plan,
             self.dispatcher,
-            claim.ClaimLog(settings.name, peers.objects),
+            claim.ClaimLog(settings.name, peers.object_store),
         )
         self.desk = callers_app.Desk(
             self.plan,
@@ -130,20 +134,22 @@
             self.runner,
             self.tracer,
         )
-        self.lender = permit.Lender(self.plan)
+        self.relay = relay.Relay(
+            relay.Knowledge(self.held, self.members, self.plan),
+            peers.calls,
+        )
         self.borrower = permit.Borrower(
             self.plan,
-            self._ask_owner,
-            self._give_back,
+            self.relay.ask_owner,
+            self.relay.give_back,
         )
         self.plan.return_permit = self.borrower.return_permit
-        self._notices_by_node: dict[str, evidence.Notice] = {}
         self._tasks: list[gevent.Greenlet] = []
 
     def start(self) -> None:
         """Start the tasks of the node, one for each peer."""
         following = feed.Feed(
-            self.peers.objects,
+            self.peers.object_store,
             self.held,
             self.is_watcher,
         )
@@ -228,147 +234,6 @@
         if state:
             state.note_report(report)
 
-    def note_notice(self, notice: evidence.Notice) -> bool:
-        """Take in which version another node runs.
-
-        Args:
-            notice: The notice.
-
-        Returns:
-            Whether it was new.
-        """
-        known = self._notices_by_node.get(notice.node)
-        if known and known.version >= notice.version:
-            return False
-        self._notices_by_node[notice.node] = notice
-        if notice.version > self.held.current.version:
-            gevent.spawn(self.fetch_changes, notice.address)
-            return True
-        return False
-
-    def list_versions(self) -> dict[str, int]:
-        """List the versions that the live nodes run, as far as they told.
-
-        Returns:
-            The versions by the name of the node; 0 if it did not tell.
-        """
-        versions = {other.name: 0 for other in self.members.list_live()}
-        for name, notice in self._notices_by_node.items():
-            if name in versions:
-                versions[name] = notice.version
-        versions[self.settings.name] = self.held.current.version
-        return versions
-
-    def fetch_changes(self, address: str) -> None:
-        """Fetch the configuration from another node.
-
-        Args:
-            address: Where the node takes calls.
-        """
-        query = message.ChangeQuery(self.held.current.version)
-        try:
-            reply = self.peers.calls.list_changes(address, query)
-        except error.NodeError as fault:
-            _LOG.write(f'no changes from a node: {fault}.')
-            return
-        self.held.adopt(reply.snapshot, reply.changes)
-
-    def list_changes(self, query: message.ChangeQuery) -> message.ChangeReply:
-        """Answer a query for changes.
-
-        Args:
-            query: The query.
-
-        Returns:
-            The changes, or the whole configuration.
-        """
-        if query.after >= self.held.current.version:
-            return message.ChangeReply(None, ())
-        changes = self.held.list_changes(query.after)
-        if changes is None:
-            return message.ChangeReply(self.held.current, ())
-        return message.ChangeReply(None, changes)
-
-    def sync(self, query: message.SyncQuery) -> message.SyncReply:
-        """Answer a query for members and orders.
-
-        Args:
-            query: The query.
-
-        Returns:
-            What this node knows.
-        """
-        self._merge_knowledge(query.members, query.orders)
-        return message.SyncReply(
-            tuple(self.members.by_name.values()),
-            tuple(self.plan.order_by_zone.values()),
-            self.held.current.version,
-        )
-
-    def lend(self, ask: permit.Ask) -> message.Verdict:
-        """Answer an ask for a slot of a back end.
-
-        Args:
-            ask: What is asked for.
-
-        Returns:
-            Whether it is lent.
-        """
-        return message.Verdict(self.lender.lend(ask))
-
-    def take_back(self, ask: permit.Ask) -> message.Verdict:
-        """Take a slot back.
-
-        Args:
-            ask: The permit.
-
-        Returns:
-            That it is taken back.
-        """
-        self.lender.take_back(ask)
-        return message.Verdict(granted=True)
-
-    def sync_with(self, other: message.Member) -> None:
-        """Exchange all that is known with another node.
-
-        Args:
-            other: The node.
-        """
-        query = message.SyncQuery(
-            tuple(self.members.by_name.values()),
-            tuple(self.plan.order_by_zone.values()),
-        )
-        try:
-            reply = self.peers.calls.sync(other.calls, query)
-        except error.NodeError as fault:
-            _LOG.write(f'no exchange with a node: {fault}.')
-            return
-        self._merge_knowledge(reply.members, reply.orders)
-        if reply.version > self.held.current.version:
-            self.fetch_changes(other.calls)
-
-    def _ask_owner(self, owner: str, ask: permit.Ask) -> bool:
-        return self.peers.calls.lend(self._find_calls(owner), ask).granted
-
-    def _give_back(self, owner: str, ask: permit.Ask) -> None:
-        self.peers.calls.take_back(self._find_calls(owner), ask)
-
-    def _find_calls(self, name: str) -> str:
-        known = self.members.by_name.get(name)
-        if known is None:
-            raise error.NodeError('the node is not known', 'find', name)
-        return known.calls
-
-    def _merge_knowledge(
-        self,
-        members: tuple[message.Member, ...],
-        orders: tuple[evidence.ZoneOrder, ...],
-    ) -> None:
-        for news in members:
-            self.members.merge(news)
-        for order in orders:
-            self.plan.note_order(order)
-
     def _follow_view(self, view: index.Index) -> None:
         self.plan.update_view(view)
         self.announce(
@@ -393,15 +258,15 @@
         while True:
             others = self.members.list_others()
             if others:
-                self.sync_with(random.choice(others))
+                self.relay.sync_with(random.choice(others))
                 joined = self.held.view is not None
             pause = SYNC_SECONDS if joined else JOIN_SECONDS
-            gevent.sleep(pause * random.uniform(0.5, 1))
+            gevent.sleep(pause * random.uniform(JITTER, 1))
 
     def _run_machines(self) -> None:
         while True:
             try:
-                machines = self.peers.objects.list_machines()
+                machines = self.peers.object_store.list_machines()
             except error.PlatformError as fault:
                 _LOG.write(f'no list of machines: {fault}.')
                 machines = ()
@@ -412,7 +277,9 @@
                     if not machine.leaving
                 ),
             )
-            gevent.sleep(MACHINES_SECONDS * random.uniform(0.5, 1.5))
+            gevent.sleep(
+                MACHINES_SECONDS * random.uniform(1 - JITTER, 1 + JITTER)
+            )
 
 
 @functools.singledispatch
@@ -449,7 +316,7 @@
 
 @_take_sign.register
 def _take_notice(sign: evidence.Notice, node: Node) -> bool:
-    return node.note_notice(sign)
+    return node.relay.note_notice(sign)
 
 
 def make_link(settings: setting.Settings) -> exchange.Link:
--- a/pimentoway/tools/standin.py
+++ b/pimentoway/tools/standin.py
@@ -1,22 +1,26 @@
 """The command line of the stand-ins for outside systems."""
 
 import dataclasses
-
+import types
+from importlib import metadata
 
 from cleo import application, helpers
 from cleo.commands import command
 from gevent import pywsgi
 
-import pimentoway
 from pimentoway.core import serving
 from pimentoway.parser import ini
 from pimentoway.standin import engine, model, platform, store
 
+#: The version of the program.
+VERSION = metadata.version('pimentoway')
+
 _CONNECTIONS = 4000
 _STALL_SECONDS = 120
-_FIELD_TYPES = {
-    field.name: field.type for field in dataclasses.fields(model.Traits)
-}
+_CALL_SECONDS = 0.05
+_FIELD_TYPES = types.MappingProxyType(
+    {field.name: field.type for field in dataclasses.fields(model.Traits)},
+)
 
 
 class PlatformCommand(command.Command):
@@ -32,10 +36,10 @@
         Returns:
             The exit status.
         """
-        objects = store.MemoryStore()
+        object_store = store.MemoryStore()
         _make_server(
             self.argument('address'),
-            platform.make_app(objects),
+            platform.make_app(object_store),
         ).serve_forever()
         return 0
 
@@ -80,7 +84,7 @@
             The exit status.
         """
         address = self.argument('address')
-        seconds = float(self.argument('seconds') or 0.05)
+        seconds = float(self.argument('seconds') or _CALL_SECONDS)
         served = model.ApplicationModel(address, seconds)
         _make_server(
             address,
@@ -97,7 +101,7 @@
     """
     program = application.Application(
         'pimentoway-standin',
-        pimentoway.__version__,
+        VERSION,
     )
     program.add(PlatformCommand())
     program.add(EngineCommand())
