--- a/pimentoway/backends/exchange.py
+++ b/pimentoway/backends/exchange.py
@@ -32,7 +32,6 @@
 _CHAT_PATH = '/v1/chat/completions'
 _FIRST_ERROR = 400
 _MISSING = 404
-_LEAST_SECONDS = 0.001
 _ERROR_LENGTH = 200
 
 
@@ -233,7 +232,9 @@
     link: Link,
     path: str,
 ) -> connection.Call:
-    left = max(entry.deadline - clock.read_monotonic(), _LEAST_SECONDS)
+    left = max(
+        entry.deadline - clock.read_monotonic(), connection.LEAST_SECONDS
+    )
     headers = [
         ('Content-Type', 'application/json'),
         (REQUEST_HEADER, entry.request_id),
@@ -249,7 +250,8 @@
         headers=tuple(headers),
         connect_seconds=min(link.connect_seconds, left),
         first_byte_seconds=min(link.first_byte_seconds, left),
-        gap_seconds=min(link.gap_seconds, left),
+        gap_seconds=link.gap_seconds,
+        deadline=entry.deadline,
         fresh=not entry.service.repeatable,
     )
 
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 import socket
 
 from gevent import select as gevent_select
@@ -21,6 +22,9 @@
 #: The idle connections kept for each address.
 IDLE_CONNECTIONS = 32
 
+#: The shortest timeout, in seconds, as 0 would mean not to wait at all.
+LEAST_SECONDS = 0.001
+
 #: The bytes read from a connection at once.
 BLOCK_BYTES = 16_384
 
@@ -39,6 +43,7 @@
         first_byte_seconds: The longest time until the answer begins.
         gap_seconds: The longest time between two pieces of the answer.
         fresh: Whether to make a new connection for the call.
+        deadline: The time after which nobody waits for the answer.
     """
 
     address: str
@@ -50,6 +55,16 @@
     first_byte_seconds: float = 30
     gap_seconds: float = 10
     fresh: bool = False
+    deadline: float = math.inf
+
+    def measure_patience(self) -> float:
+        """Work out how long to wait for the next piece of the answer.
+
+        Returns:
+            The seconds until the deadline, at most the longest gap.
+        """
+        left = self.deadline - clock.read_monotonic()
+        return max(min(self.gap_seconds, left), LEAST_SECONDS)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,6 +129,7 @@
         Returns:
             The line with its end, or nothing at the end of the body.
         """
+        self._sock.settimeout(self._call.measure_patience())
         try:
             return self._reply.readline(b'\n')
         except (OSError, ValueError, response.HTTPParseError) as fault:
@@ -128,6 +144,7 @@
         Raises:
             CutError: If the connection broke or stood still.
         """
+        self._sock.settimeout(self._call.measure_patience())
         try:
             body = self._reply.read()
         except (OSError, ValueError, response.HTTPParseError) as fault:
@@ -265,7 +282,6 @@
         block_size=BLOCK_BYTES,
         method=call.method,
     )
-    sock.settimeout(call.gap_seconds)
     return reply
 
 
--- a/pimentoway/nodes/call.py
+++ b/pimentoway/nodes/call.py
@@ -15,7 +15,7 @@
 
 from pimentoway.core import codec, error, metric
 from pimentoway.nodes import message
-from pimentoway.ops import permit
+from pimentoway.ops import claim, permit
 
 #: Seconds in which a call has to be answered.
 CALL_SECONDS = 2
@@ -23,6 +23,7 @@
 _CHANGES_PATH = '/pimentoway.Node/Changes'
 _SYNC_PATH = '/pimentoway.Node/Sync'
 _LEND_PATH = '/pimentoway.Node/Lend'
+_APPEND_PATH = '/pimentoway.Node/Append'
 _TAKE_BACK_PATH = '/pimentoway.Node/TakeBack'
 
 
@@ -69,6 +70,16 @@
             That it is taken back.
         """
 
+    def append_entry(self, entry: claim.Entry) -> message.AppendReply:
+        """Append an entry to the claim log.
+
+        Args:
+            entry: The entry.
+
+        Returns:
+            What the log holds.
+        """
+
 
 class PackedCodec(base.CodecBase):
     """Encodes messages as MessagePack."""
@@ -137,6 +148,11 @@
                 permit.Ask,
                 message.Verdict,
             ),
+            _APPEND_PATH: _make_handler(
+                answers.append_entry,
+                claim.Entry,
+                message.AppendReply,
+            ),
             _TAKE_BACK_PATH: _make_handler(
                 answers.take_back,
                 permit.Ask,
@@ -215,6 +231,20 @@
         """
         return self._call(address, _TAKE_BACK_PATH, ask, message.Verdict)
 
+    def append_entry(
+        self, address: str, entry: claim.Entry
+    ) -> message.AppendReply:
+        """Let a node append an entry to the claim log.
+
+        Args:
+            address: Where the node takes calls.
+            entry: The entry.
+
+        Returns:
+            What the log holds.
+        """
+        return self._call(address, _APPEND_PATH, entry, message.AppendReply)
+
     def close(self) -> None:
         """Stop answering and stop the event loop."""
         if self._server:
--- a/pimentoway/nodes/message.py
+++ b/pimentoway/nodes/message.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pimentoway.core import configuration, evidence
+from pimentoway.ops import claim
 
 
 class Standing(enum.IntEnum):
@@ -113,6 +114,18 @@
     version: int
 
 
+class AppendReply(msgspec.Struct, frozen=True, array_like=True):
+    """The answer to an entry for the claim log.
+
+    Attributes:
+        entry: The entry that the log holds for the key, if it was written.
+        unsure: Whether it may have been written although none is here.
+    """
+
+    entry: claim.Entry | None
+    unsure: bool = False
+
+
 class Verdict(msgspec.Struct, frozen=True, array_like=True):
     """The answer to a call that asks for a yes or no.
 
--- a/pimentoway/nodes/relay.py
+++ b/pimentoway/nodes/relay.py
@@ -12,7 +12,7 @@
 
 from pimentoway.core import error, evidence, log
 from pimentoway.nodes import member, message
-from pimentoway.ops import keeper, permit, scheduler
+from pimentoway.ops import claim, keeper, permit, prefix, scheduler
 
 _LOG = log.Log('relay')
 
@@ -66,6 +66,19 @@
             That it is taken back.
         """
 
+    def append_entry(
+        self, address: str, entry: claim.Entry
+    ) -> message.AppendReply:
+        """Let a node append an entry to the claim log.
+
+        Args:
+            address: Where the node takes calls.
+            entry: The entry.
+
+        Returns:
+            What the log holds.
+        """
+
 
 @dataclasses.dataclass(frozen=True)
 class Knowledge:
@@ -83,7 +96,11 @@
 
 
 class Relay:
-    """Answers the calls of other nodes and makes calls to them."""
+    """Answers the calls of other nodes and makes calls to them.
+
+    Attributes:
+        claims: The claim log, once it is connected.
+    """
 
     def __init__(self, known: Knowledge, calls: Calls) -> None:
         """Connect the parts.
@@ -94,6 +111,7 @@
         """
         self._known = known
         self._calls = calls
+        self.claims: claim.ClaimLog | None = None
         self._lender = permit.Lender(known.plan)
         self._notices_by_node: dict[str, evidence.Notice] = {}
 
@@ -153,6 +171,55 @@
         self._lender.take_back(ask)
         return message.Verdict(granted=True)
 
+    def append_entry(self, entry: claim.Entry) -> message.AppendReply:
+        """Append an entry to the claim log for another node.
+
+        Args:
+            entry: The entry.
+
+        Returns:
+            What the log holds.
+        """
+        try:
+            return message.AppendReply(self.claims.append_local(entry))
+        except error.PlatformUnavailableError:
+            return message.AppendReply(None)
+        except error.PlatformError:
+            return message.AppendReply(None, unsure=True)
+
+    def choose_owner(self, shard: int) -> str:
+        """Choose the node that gathers the entries of a shard.
+
+        Args:
+            shard: The number of the shard.
+
+        Returns:
+            The name of the node.
+        """
+        names = [other.name for other in self._known.members.list_live()]
+        return prefix.rank_rendezvous(shard, names)[0]
+
+    def append(self, owner: str, entry: claim.Entry) -> claim.Entry:
+        """Let another node append an entry to the claim log.
+
+        Args:
+            owner: The name of the node.
+            entry: The entry.
+
+        Returns:
+            The entry that the log holds for the key afterwards.
+
+        Raises:
+            PlatformUnavailableError: If the owner can't reach the platform.
+            PlatformAmbiguousError: If the entry may have been written.
+        """
+        reply = self._calls.append_entry(self._find_address(owner), entry)
+        if reply.unsure:
+            raise error.PlatformAmbiguousError('lost', 'append', owner)
+        if reply.entry is None:
+            raise error.PlatformUnavailableError('down', 'append', owner)
+        return reply.entry
+
     def note_notice(self, notice: evidence.Notice) -> bool:
         """Take in which version another node runs.
 
--- a/pimentoway/ops/claim.py
+++ b/pimentoway/ops/claim.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+import typing
 import uuid
 
 import gevent
@@ -30,6 +31,9 @@
 #: Seconds for which a key is remembered at least.
 RETENTION_SECONDS = 86_400
 
+#: Seconds between two updates of a shard, in which entries gather.
+SHARE_SECONDS = 0.1
+
 #: The attempts at one batch before its requests are refused.
 ATTEMPTS = 8
 
@@ -170,6 +174,7 @@
         self._stale = True
         self._fresh = False
         self._pending: list[Pending] = []
+        self._last_write: float = 0
         self._writer: gevent.Greenlet | None = None
 
     def append(self, entry: Entry) -> gevent_event.AsyncResult:
@@ -193,12 +198,20 @@
         # next one.
         try:
             while self._pending:
+                gevent.sleep(self._measure_pause())
                 batch = self._pending
                 self._pending = []
                 self._write_batch(batch)
         finally:
             self._writer = None
 
+    def _measure_pause(self) -> float:
+        # The first entry after a quiet time is written at once.
+        now = clock.read_monotonic()
+        pause = max(0, self._last_write + SHARE_SECONDS - now)
+        self._last_write = now + pause
+        return pause
+
     def _write_batch(self, batch: list[Pending]) -> None:
         try:
             self._commit(batch)
@@ -384,17 +397,51 @@
         return prefix if number is None else f'{prefix}{number:08}'
 
 
+class Router(typing.Protocol):
+    """Finds the node that gathers the entries of a shard, and reaches it.
+
+    Which node does so matters to the number of updates only: the conditional
+    update alone decides.
+    """
+
+    def choose_owner(self, shard: int) -> str:
+        """Choose the node that gathers the entries of a shard.
+
+        Args:
+            shard: The number of the shard.
+
+        Returns:
+            The name of the node.
+        """
+
+    def append(self, owner: str, entry: Entry) -> Entry:
+        """Let another node append an entry.
+
+        Args:
+            owner: The name of the node.
+            entry: The entry.
+
+        Returns:
+            The entry that the log holds for the key afterwards. Raises a
+            ``NodeError`` if the node can't be reached.
+        """
+
+
 class ClaimLog:
     """The claim log, as one node uses it."""
 
-    def __init__(self, node: str, object_store: store.Store) -> None:
+    def __init__(
+        self, node: str, object_store: store.Store, router: Router
+    ) -> None:
         """Use the platform's object service.
 
         Args:
             node: The name of the node.
             object_store: The service.
+            router: Finds the nodes that gather entries.
         """
         self._node = node
+        self._router = router
         self._shards = [Shard(number, object_store) for number in range(SHARDS)]
 
     def claim(self, entry: request.Request) -> Claim:
@@ -415,7 +462,7 @@
             f'{self._node}/{entry.request_id}/{uuid.uuid4().hex[:8]}',
             request.fingerprint_body(entry.service.name, entry.body),
         )
-        written = self._find_shard(key).append(wanted)
+        written = self._append(wanted)
         left = entry.deadline - clock.read_monotonic()
         try:
             held = written.get(timeout=max(0, min(left, CLAIM_SECONDS)))
@@ -437,17 +484,27 @@
         Args:
             outcome: The entry with the outcome.
         """
-        shard = self._find_shard(outcome.key)
         recorded = False
         while not recorded:
             try:
-                shard.append(outcome).get()
+                self._append(outcome).get()
             except error.PlatformError as fault:
                 _LOG.write(f'an outcome is not recorded yet: {fault}.')
                 gevent.sleep(RECORD_PAUSE_SECONDS)
             else:
                 recorded = True
 
+    def append_local(self, entry: Entry) -> Entry:
+        """Append an entry by this node's own updates.
+
+        Args:
+            entry: The entry.
+
+        Returns:
+            The entry that the log holds for the key afterwards.
+        """
+        return self._shards[choose_shard(entry.key)].append(entry).get()
+
     def _take_back(
         self, wanted: Entry, written: gevent_event.AsyncResult
     ) -> None:
@@ -455,8 +512,23 @@
         written.wait()
         self.record(dataclasses.replace(wanted, state=State.not_run))
 
-    def _find_shard(self, key: str) -> Shard:
-        return self._shards[choose_shard(key)]
+    def _append(self, entry: Entry) -> gevent_event.AsyncResult:
+        shard = choose_shard(entry.key)
+        owner = self._router.choose_owner(shard)
+        if owner == self._node:
+            return self._shards[shard].append(entry)
+        written = gevent_event.AsyncResult()
+        gevent.spawn(self._append_at, owner, entry).link(written)
+        return written
+
+    def _append_at(self, owner: str, entry: Entry) -> Entry:
+        try:
+            return self._router.append(owner, entry)
+        except error.NodeError as fault:
+            # The owner may have written the entry; appending it again here
+            # finds it, as the claim has the same identifier.
+            _LOG.write(f'a claim is written without its owner: {fault}.')
+            return self.append_local(entry)
 
 
 def _may_follow(known: Entry | None, entry: Entry) -> bool:
--- a/pimentoway/ops/dispatch.py
+++ b/pimentoway/ops/dispatch.py
@@ -146,12 +146,12 @@
             entry.traceparent,
         )
         arrived = clock.read_monotonic()
-        left = max(0, entry.deadline - arrived)
+        patience = self._plan.measure_patience(entry)
         try:
-            return ticket.granted.get(timeout=left)
+            return ticket.granted.get(timeout=patience)
         except gevent.Timeout:
             expired = error.ExpiredError(
-                'the deadline came while the request waited',
+                'the deadline can no longer be met',
                 'queue',
             )
             self._plan.withdraw(ticket, expired)
--- a/pimentoway/ops/scheduler.py
+++ b/pimentoway/ops/scheduler.py
@@ -19,6 +19,9 @@
 #: Seconds after which a caller may come back when no back end is open.
 CLOSED_RETRY_SECONDS = 2
 
+#: The part of a new answer in the moving average of lengths.
+SMOOTHING = 0.05
+
 #: The time over which the throughput of a pool is measured, in seconds.
 RATE_SECONDS = 10
 
@@ -78,6 +81,37 @@
         self._time = now
 
 
+class Lengths:
+    """How long answers are against their bound, by service."""
+
+    def __init__(self) -> None:
+        """Start without any answer."""
+        self._ratio_by_service: dict[str, float] = {}
+
+    def record(self, entry: request.Request, tokens: int) -> None:
+        """Learn from an answer.
+
+        Args:
+            entry: The request.
+            tokens: The tokens of its answer.
+        """
+        name = entry.service.name
+        ratio = min(1, tokens / entry.output_tokens)
+        known = self._ratio_by_service.get(name, 0)
+        self._ratio_by_service[name] = known + (ratio - known) * SMOOTHING
+
+    def estimate(self, entry: request.Request) -> float:
+        """Estimate the length of an answer.
+
+        Args:
+            entry: The request.
+
+        Returns:
+            Its part of the bound, 0 while nothing is known.
+        """
+        return self._ratio_by_service.get(entry.service.name, 0)
+
+
 @dataclasses.dataclass
 class Pool:
     """The queue of a pool and what is known of its speed."""
@@ -126,6 +160,7 @@
         ] = _keep_permit
         self._announce = announce
         self._queue_tokens = queue_tokens
+        self._lengths = Lengths()
         self._pools_by_name: dict[str, Pool] = {}
 
     def update_view(self, view: index.Index) -> None:
@@ -194,6 +229,26 @@
                 CLOSED_RETRY_SECONDS,
             )
 
+    def measure_patience(self, entry: request.Request) -> float:
+        """Work out how long a request may wait and still be answered in time.
+
+        Args:
+            entry: The request.
+
+        Returns:
+            The seconds; 0 if it is too late already.
+        """
+        paces = [
+            state.limit.best_pace
+            for state in self.fleet.by_name.values()
+            if state.backend.pool == entry.service.pool
+        ]
+        run = 0
+        if paces:
+            length = entry.output_tokens * self._lengths.estimate(entry)
+            run = min(paces) * length
+        return max(0, entry.deadline - clock.read_monotonic() - run)
+
     def submit(
         self, entry: request.Request, trial: bool = False
     ) -> queue.Ticket:
@@ -262,6 +317,7 @@
         """
         self._free_slot(state, entry)
         pool = self._find_pool(entry.service.pool)
+        self._lengths.record(entry, tokens)
         used = entry.prompt_tokens + tokens
         pool.throughput.record(used)
         pool.waiting.charge(entry, used - entry.tokens)
--- a/pimentoway/standin/model.py
+++ b/pimentoway/standin/model.py
@@ -47,6 +47,9 @@
         failing: Whether it answers with errors.
         frozen: Whether it stands still.
         cut_after: The tokens after which it drops a stream, once; 0 for none.
+        foreign_after: The tokens after which it sends another request's event,
+            once; 0 for none.
+        doubling: Whether it repeats a token when a stream is resumed.
     """
 
     slots: int = 8
@@ -63,6 +66,8 @@
     failing: bool = False
     frozen: bool = False
     cut_after: int = 0
+    foreign_after: int = 0
+    doubling: bool = False
 
 
 class RunState(enum.Enum):
@@ -88,6 +93,7 @@
         fingerprint: The digest of its prompt.
         prompt: The prompt.
         length: The tokens to generate.
+        arrived: When it arrived.
         tokens: The tokens generated so far.
         started: When it began to run; 0 while it waits.
         state: What became of it.
@@ -98,6 +104,7 @@
     fingerprint: str
     prompt: bytes
     length: int
+    arrived: float = 0
     tokens: list[str] = dataclasses.field(default_factory=list)
     started: float = 0
     state: RunState = RunState.waiting
@@ -209,7 +216,8 @@
             FailedError: If the engine answers with errors.
         """
         fingerprint = hashlib.sha256(prompt).hexdigest()[:8]
-        run = Run(run_id, fingerprint, prompt, length)
+        arrived = clock.read_monotonic()
+        run = Run(run_id, fingerprint, prompt, length, arrived)
         self.ledger.append(run)
         if self.traits.failing:
             run.state = RunState.done
@@ -235,7 +243,7 @@
         Raises:
             CutError: If the engine crashed or dropped the stream.
         """
-        position = after
+        position = max(after - self.traits.doubling, 0)
         while run.state in LIVE_STATES or position < len(run.tokens):
             if position == len(run.tokens):
                 run.changed.wait()
--- a/pimentoway/standin/network.py
+++ b/pimentoway/standin/network.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import dataclasses
 
 import gevent
 from gevent import event as gevent_event
@@ -12,7 +13,7 @@
 from pimentoway.backends import event, exchange
 from pimentoway.core import codec, connection, error
 from pimentoway.nodes import message, relay
-from pimentoway.ops import permit
+from pimentoway.ops import claim, permit
 from pimentoway.platform import store
 from pimentoway.standin import engine, model
 
@@ -198,6 +199,7 @@
         self,
         status: int,
         body: collections.abc.Iterator[bytes],
+        call: connection.Call,
         host: Host,
         load: str = '',
     ) -> None:
@@ -206,12 +208,14 @@
         Args:
             status: The HTTP status.
             body: The lines of the body.
+            call: The call.
             host: The machine that called.
             load: The report that goes with the answer.
         """
         self.status = status
         self.content_type = 'application/json'
         self._body = body
+        self._call = call
         self._host = host
         self._load = load
 
@@ -232,7 +236,9 @@
         Returns:
             The line, or nothing at the end.
         """
-        line = next(self._body, b'')
+        patience = self._call.measure_patience()
+        with gevent.Timeout(patience, error.CutError('stalled', 'read')):
+            line = next(self._body, b'')
         self._host.pass_out()
         return line
 
@@ -333,6 +339,22 @@
         """
         return self._find(address).take_back(ask)
 
+    def append_entry(
+        self, address: str, entry: claim.Entry
+    ) -> message.AppendReply:
+        """Let a node append an entry, see ``Calls.append_entry``.
+
+        Args:
+            address: Where to.
+            entry: The entry.
+
+        Returns:
+            The reply.
+        """
+        reply = self._find(address).append_entry(entry)
+        self._find(address)
+        return reply
+
     def _find(self, address: str) -> relay.Relay:
         try:
             self._host.pass_to(address)
@@ -442,48 +464,63 @@
 def _answer(served: object, call: connection.Call, host: Host) -> FakeExchange:
     load = codec.encode_json(served.report()).decode()
     if call.path == '/report':
-        return FakeExchange(_OK, iter([load.encode()]), host)
+        return FakeExchange(_OK, iter([load.encode()]), call, host)
     headers = dict(call.headers)
     if isinstance(served, model.ApplicationModel):
         key = headers.get(exchange.KEY_HEADER, '')
         run_id = headers[exchange.REQUEST_HEADER]
         body = served.call(model.Effect(key, call.body, run_id))
-        return FakeExchange(_OK, iter([body]), host, load)
-    run_id = headers[exchange.REQUEST_HEADER]
+        return FakeExchange(_OK, iter([body]), call, host, load)
     if call.path == _CHAT_PATH:
-        return _start_run(served, call, run_id, host, load)
-    run = served.runs_by_id.get(run_id)
-    if run is None:
-        return FakeExchange(_MISSING, iter(()), host)
+        return _start_run(served, call, host, load)
+    return _continue_run(served, call, host, load)
+
+
+def _continue_run(
+    served: model.EngineModel,
+    call: connection.Call,
+    host: Host,
+    load: str,
+) -> FakeExchange:
+    run_id = dict(call.headers)[exchange.REQUEST_HEADER]
     if call.method == 'DELETE':
         served.cancel(run_id)
-        return FakeExchange(_OK, iter(()), host)
+        return FakeExchange(_OK, iter(()), call, host)
+    run = served.runs_by_id.get(run_id)
+    if run is None:
+        return FakeExchange(_MISSING, iter(()), call, host)
     after = int(call.path.rpartition('=')[2])
-    return FakeExchange(_OK, _stream_lines(served, run, after), host, load)
+    return FakeExchange(
+        _OK, _stream_lines(served, run, after), call, host, load
+    )
 
 
 def _start_run(
     served: model.EngineModel,
     call: connection.Call,
-    run_id: str,
     host: Host,
     load: str,
 ) -> FakeExchange:
+    run_id = dict(call.headers)[exchange.REQUEST_HEADER]
     asked = codec.decode_json(call.body, engine.Completion)
     prompt = '\n'.join(part.content for part in asked.messages).encode()
     try:
         run = served.submit(run_id, prompt, asked.max_tokens)
     except error.FailedError:
-        return FakeExchange(_FAILED, iter([b'failing']), host)
-    return FakeExchange(_OK, _stream_lines(served, run, 0), host, load)
+        return FakeExchange(_FAILED, iter([b'failing']), call, host)
+    return FakeExchange(_OK, _stream_lines(served, run, 0), call, host, load)
 
 
 def _stream_lines(
     served: model.EngineModel, run: model.Run, after: int
 ) -> collections.abc.Iterator[bytes]:
     for number, text in served.read(run, after):
+        answered = run
+        if served.traits.foreign_after == number:
+            served.traits.foreign_after = 0
+            answered = dataclasses.replace(run, run_id='another')
         payload = event.DONE
         if text is not None:
-            payload = engine.encode_chunk(run, text)
+            payload = engine.encode_chunk(answered, text)
         yield b'id: %d\n' % number
         yield b'data: %b\n' % payload
--- a/pimentoway/standin/store.py
+++ b/pimentoway/standin/store.py
@@ -16,6 +16,9 @@
 #: The largest value, in bytes.
 VALUE_BYTES = 1_000_000
 
+#: Seconds after which a late write takes effect.
+LATE_SECONDS = 1
+
 #: The events that are kept for watches.
 KEPT_EVENTS = 1000
 
@@ -33,6 +36,8 @@
         delay: Seconds that each call takes.
         lost_answers: The writes, still to come, whose answer is lost.
         lost_writes: The writes, still to come, that vanish with their answer.
+        late_writes: The writes, still to come, that take effect only after
+            ``LATE_SECONDS``, their answer being lost.
         machine_lag: Seconds by which the list of machines lags.
     """
 
@@ -40,6 +45,7 @@
     delay: float = 0
     lost_answers: int = 0
     lost_writes: int = 0
+    late_writes: int = 0
     machine_lag: float = 0
 
 
@@ -99,6 +105,7 @@
             raise error.PlatformRefusedError('too large', 'write', _PEER)
         self._check_version(kind, name, version)
         self._lose_write()
+        self._delay_write(kind, name, body, version)
         written = self._put(kind, name, body)
         self._lose_answer()
         return written
@@ -179,7 +186,7 @@
         """
         self._machines.append((clock.read_monotonic(), machines))
 
-    def set_down(self, down: bool) -> None:
+    def mark_down(self, down: bool) -> None:
         """Take the service down or bring it back.
 
         Args:
@@ -217,6 +224,25 @@
             self.faults.lost_writes -= 1
             raise error.PlatformAmbiguousError('lost', 'write', _PEER)
 
+    def _delay_write(
+        self, kind: str, name: str, body: str, version: int
+    ) -> None:
+        if self.faults.late_writes:
+            self.faults.late_writes -= 1
+            gevent.spawn_later(
+                LATE_SECONDS,
+                self._put_late,
+                kind,
+                name,
+                body,
+                version,
+            )
+            raise error.PlatformAmbiguousError('lost', 'write', _PEER)
+
+    def _put_late(self, kind: str, name: str, body: str, version: int) -> None:
+        if self._find(kind, name).version == version:
+            self._put(kind, name, body)
+
     def _lose_answer(self) -> None:
         if self.faults.lost_answers:
             self.faults.lost_answers -= 1
--- a/pimentoway/standin/world.py
+++ b/pimentoway/standin/world.py
@@ -77,6 +77,7 @@
         text: The text of the answer.
         rank: The rank of the caller's tier.
         customer: The name of the customer.
+        node: The name of the node that took it.
         first: When the first piece came; 0 before.
         key: The idempotency key, if any.
         tokens: The tokens of the answer.
@@ -86,6 +87,7 @@
     sent: float
     rank: int
     customer: str
+    node: str
     key: str = ''
     ended: float = 0
     outcome: str = ''
@@ -314,6 +316,7 @@
             clock.read_monotonic(),
             entry.rank,
             entry.caller.customer,
+            node.settings.name,
             entry.key,
         )
         self.attempts.append(attempt)
@@ -364,21 +367,16 @@
         )
 
     def _build_tables(self) -> configuration.Tables:
-        engines = []
-        applications = []
-        for zone in self.shape.zones:
-            for number, traits in enumerate(self.shape.engines):
-                name = f'engine-{zone}-{number}'
-                served = model.EngineModel(name, dataclasses.replace(traits))
-                self.engines_by_name[name] = served
-                fields = self._place_backend(name, zone, TEXT_POOL, served)
-                engines.append(configuration.Engine(**fields))
-            for position in range(self.shape.applications):
-                name = f'application-{zone}-{position}'
-                plain = model.ApplicationModel(name)
-                self.applications_by_name[name] = plain
-                fields = self._place_backend(name, zone, TAG_POOL, plain)
-                applications.append(configuration.Application(**fields))
+        engines = [
+            configuration.Engine(**fields)
+            for zone in self.shape.zones
+            for fields in self._place_engines(zone)
+        ]
+        applications = [
+            configuration.Application(**fields)
+            for zone in self.shape.zones
+            for fields in self._place_applications(zone)
+        ]
         return configuration.Tables(
             tiers=tuple(
                 configuration.Tier(f'tier-{rank}', rank)
@@ -410,6 +408,24 @@
             applications=tuple(applications),
         )
 
+    def _place_engines(self, zone: str) -> list[dict[str, object]]:
+        placed = []
+        for number, traits in enumerate(self.shape.engines):
+            name = f'engine-{zone}-{number}'
+            served = model.EngineModel(name, dataclasses.replace(traits))
+            self.engines_by_name[name] = served
+            placed.append(self._place_backend(name, zone, TEXT_POOL, served))
+        return placed
+
+    def _place_applications(self, zone: str) -> list[dict[str, object]]:
+        placed = []
+        for number in range(self.shape.applications):
+            name = f'application-{zone}-{number}'
+            served = model.ApplicationModel(name)
+            self.applications_by_name[name] = served
+            placed.append(self._place_backend(name, zone, TAG_POOL, served))
+        return placed
+
     def _place_backend(
         self, name: str, zone: str, pool: str, served: object
     ) -> dict[str, object]:
--- a/pimentoway/tools/node.py
+++ b/pimentoway/tools/node.py
@@ -123,10 +123,19 @@
             self.tracer,
             self.announce,
         )
+        self.relay = relay.Relay(
+            relay.Knowledge(self.held, self.members, self.plan),
+            peers.calls,
+        )
+        self.relay.claims = claim.ClaimLog(
+            settings.name,
+            peers.object_store,
+            self.relay,
+        )
         self.runner = once.OnceRunner(
             self.plan,
             self.dispatcher,
-            claim.ClaimLog(settings.name, peers.object_store),
+            self.relay.claims,
         )
         self.desk = callers_app.Desk(
             self.plan,
@@ -134,10 +143,6 @@
             self.runner,
             self.tracer,
         )
-        self.relay = relay.Relay(
-            relay.Knowledge(self.held, self.members, self.plan),
-            peers.calls,
-        )
         self.borrower = permit.Borrower(
             self.plan,
             self.relay.ask_owner,
