--- a/pimentoway/ops/dispatch.py
+++ b/pimentoway/ops/dispatch.py
@@ -121,6 +121,7 @@
         try:
             yield from self._run_admitted(entry, trial)
             whole = True
+            self._plan.suspects.note_answered(fingerprint)
         finally:
             if trial:
                 self._plan.suspects.end_trial(fingerprint, whole)
--- a/pimentoway/ops/suspect.py
+++ b/pimentoway/ops/suspect.py
@@ -3,9 +3,12 @@
 A request in flight on a back end that crashed is suspected by its
 fingerprint. If it was alone, or crashed a second back end in a trial of its
 own, it is blocked. If others died with it, each is held for a short while and
-then runs alone on a back end; a whole answer clears it.
+then runs alone on a back end; a whole answer clears it. A fingerprint that was
+answered before is no suspect after its first crash: what always crashes a back
+end is never answered.
 """
 
+import collections
 import dataclasses
 import enum
 
@@ -21,6 +24,13 @@
 BAN_SECONDS = 86_400
 
 
+#: The answered fingerprints that a node remembers.
+KEPT_ANSWERED = 10_000
+
+#: The crashes that a node remembers.
+KEPT_CRASHES = 1000
+
+
 class Verdict(enum.Enum):
     """How a request may run."""
 
@@ -49,7 +59,11 @@
     def __init__(self) -> None:
         """Start with no suspects."""
         self._by_fingerprint: dict[str, Suspect] = {}
-        self._by_crash: dict[str, set[str]] = {}
+        # Whether each request at a crash is excused by an earlier answer.
+        self._excuses_by_crash: dict[str, dict[str, bool]] = {}
+        self._answered: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._on_trial: set[str] = set()
 
     def record(self, sign: evidence.Suspicion) -> bool:
@@ -61,11 +75,16 @@
         Returns:
             Whether it was new.
         """
-        others = self._by_crash.setdefault(sign.crash, set())
-        if sign.fingerprint in others:
+        excuses = self._excuses_by_crash.setdefault(sign.crash, {})
+        if sign.fingerprint in excuses:
             return False
-        others.add(sign.fingerprint)
         known = self._by_fingerprint.get(sign.fingerprint)
+        excused = known is None and sign.fingerprint in self._answered
+        excuses[sign.fingerprint] = excused
+        self._forget_oldest()
+        if excused:
+            self._answered.pop(sign.fingerprint)
+            return True
         crashes = frozenset((sign.crash,))
         if known:
             crashes |= known.crashes
@@ -75,10 +94,21 @@
             trialled,
             clock.read_monotonic() + BAN_SECONDS,
         )
-        for fingerprint in others:
+        for fingerprint in excuses:
             self._judge(fingerprint)
         return True
 
+    def note_answered(self, fingerprint: str) -> None:
+        """Remember that a request was answered.
+
+        Args:
+            fingerprint: The fingerprint of the request.
+        """
+        self._answered[fingerprint] = None
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > KEPT_ANSWERED:
+            self._answered.popitem(last=False)
+
     def check(self, fingerprint: str) -> Verdict:
         """Decide whether a request may run.
 
@@ -133,12 +163,19 @@
         if whole:
             self._by_fingerprint.pop(fingerprint, None)
 
+    def _forget_oldest(self) -> None:
+        if len(self._excuses_by_crash) <= KEPT_CRASHES:
+            return
+        oldest = next(iter(self._excuses_by_crash))
+        for fingerprint in self._excuses_by_crash.pop(oldest):
+            self._by_fingerprint.pop(fingerprint, None)
+
     def _judge(self, fingerprint: str) -> None:
         known = self._by_fingerprint.get(fingerprint)
         if known is None:
             return
         now = clock.read_monotonic()
-        alone = any(len(self._by_crash[crash]) == 1 for crash in known.crashes)
+        alone = any(map(self._had_one_suspect, known.crashes))
         hold = HOLD_SECONDS
         if alone:
             hold = BLOCK_SECONDS
@@ -148,3 +185,7 @@
             known,
             until=now + hold,
         )
+
+    def _had_one_suspect(self, crash: str) -> bool:
+        excuses = self._excuses_by_crash.get(crash, {})
+        return list(excuses.values()).count(False) == 1
--- a/pimentoway/standin/world.py
+++ b/pimentoway/standin/world.py
@@ -43,6 +43,7 @@
         zones: The failure domains.
         nodes: The nodes in each.
         engines: The traits of the engines in each.
+        engine_counts: The engines in each, if not all of ``engines``.
         applications: The applications in each.
         tiers: The number of tiers; the first is the highest.
         customers: The number of customers.
@@ -55,6 +56,7 @@
     zones: tuple[str, ...] = ('norte', 'sur')
     nodes: int = 2
     engines: tuple[model.Traits, ...] = (model.Traits(), model.Traits())
+    engine_counts: tuple[int, ...] = ()
     applications: int = 1
     tiers: int = 2
     customers: int = 2
@@ -64,6 +66,46 @@
     queue_tokens: int = 400_000
 
 
+def make_albumar(traits: tuple[model.Traits, ...], **extra: object) -> Shape:
+    """Make the shape of Estudio Albumar's deployment.
+
+    Args:
+        traits: The traits of three engines, of which each failure domain has
+            two or three.
+        **extra: Further attributes.
+
+    Returns:
+        Four failure domains, eight nodes, ten engines, four applications.
+    """
+    return Shape(
+        zones=('artigas', 'salto', 'rocha', 'maldonado'),
+        engines=traits,
+        engine_counts=(3, 3, 2, 2),
+        customers=5,
+        **extra,
+    )
+
+
+def make_quetzal(traits: tuple[model.Traits, ...], **extra: object) -> Shape:
+    """Make the shape of Tarjetas Carrito Quetzal's deployment.
+
+    Args:
+        traits: The traits of two engines, of which each failure domain has
+            one or two.
+        **extra: Further attributes.
+
+    Returns:
+        Three failure domains, six nodes, five engines, three applications.
+    """
+    return Shape(
+        zones=('mixco', 'antigua', 'escuintla'),
+        engines=traits,
+        engine_counts=(2, 2, 1),
+        customers=5,
+        **extra,
+    )
+
+
 @dataclasses.dataclass
 class Attempt:
     """A caller's request and what became of it.
@@ -410,7 +452,13 @@
 
     def _place_engines(self, zone: str) -> list[dict[str, object]]:
         placed = []
-        for number, traits in enumerate(self.shape.engines):
+        traits_of_zone = self.shape.engines
+        if self.shape.engine_counts:
+            position = self.shape.zones.index(zone)
+            traits_of_zone = traits_of_zone[
+                : self.shape.engine_counts[position]
+            ]
+        for number, traits in enumerate(traits_of_zone):
             name = f'engine-{zone}-{number}'
             served = model.EngineModel(name, dataclasses.replace(traits))
             self.engines_by_name[name] = served
