Roll versions out by a promised time, and take bad ones back

Design: the share is decided by a hash of the request, so it is exact without agreement; nodes pool counts of good and bad answers by gossip and judge each service by a CUSUM of log-likelihood ratios; a node that sees a version to be bad stops it at once, with or without the platform; only the holder of a lease raises a share, by a conditional update of the head that carries its fencing number. Ruled out: a fixed error threshold for each step (blind between steps and to a version that goes bad later); keeping shares in an object of their own (the configuration already reaches every node and never reverts).

--- a/Makefile
+++ b/Makefile
@@ -57,10 +57,10 @@
 		sys.exit(launch.main_demo())' --up
 
 bench: install
-	$(PYTHON) -m pimentoway.tools.bench
+	$(PYTHON) -c 'from pimentoway.tools import launch; launch.main_bench()'
 
 slopes: install
-	$(PYTHON) -m pimentoway.tools.slope
+	$(PYTHON) -c 'from pimentoway.tools import launch; launch.main_slope()'
 
 guards: install
 	$(PYTHON) -m pimentoway.tools.guard
--- a/pimentoway/core/configuration.py
+++ b/pimentoway/core/configuration.py
@@ -106,6 +106,35 @@
     share: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Rollout:
+    """A rollout: a version takes over from another by a promised time.
+
+    Attributes:
+        name: The name of the rollout.
+        pool: The name of the pool.
+        version: The new version.
+        base: The version that it replaces.
+        promised: The wall-clock time by which it takes all traffic or is
+            taken back, in seconds since the epoch.
+    """
+
+    name: str
+    pool: str
+    version: str
+    base: str
+    promised: float
+
+    @property
+    def identity(self) -> str:
+        """Name the rollout apart from earlier ones of the same name.
+
+        Returns:
+            The identity.
+        """
+        return f'{self.pool}/{self.version}/{self.promised:.0f}'
+
+
 @dataclasses.dataclass(frozen=True)
 class Backend:
     """A back end.
@@ -159,6 +188,7 @@
     versions: tuple[Version, ...] = ()
     engines: tuple[Engine, ...] = ()
     applications: tuple[Application, ...] = ()
+    rollouts: tuple[Rollout, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pimentoway/core/evidence.py
+++ b/pimentoway/core/evidence.py
@@ -95,4 +95,51 @@
     version: int
 
 
-Evidence = Pressure | Suspicion | ColdStart | Allowance | ZoneOrder | Notice
+class Tally(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The answers that a version gave at a node since the node started.
+
+    Attributes:
+        node: The name of the node.
+        pool: The name of the pool.
+        version: The name of the version.
+        service: The name of the service.
+        good: The good answers.
+        bad: The bad ones: failed, blank, cut off or slow.
+        sequence: A number that rises with each telling of the node.
+    """
+
+    node: str
+    pool: str
+    version: str
+    service: str
+    good: int
+    bad: int
+    sequence: int
+
+
+class Condemnation(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A version is bad: it gets no more traffic.
+
+    Attributes:
+        pool: The name of the pool.
+        version: The name of the version.
+        rollout_id: The rollout by which it came.
+        service: The service on which it is bad.
+    """
+
+    pool: str
+    version: str
+    rollout_id: str
+    service: str
+
+
+Evidence = (
+    Pressure
+    | Suspicion
+    | ColdStart
+    | Allowance
+    | ZoneOrder
+    | Notice
+    | Tally
+    | Condemnation
+)
--- a/pimentoway/core/index.py
+++ b/pimentoway/core/index.py
@@ -19,6 +19,7 @@
         services_by_name: The services.
         versions_by_pool: The versions of each pool, in a fixed order.
         backends_by_name: The back ends of both kinds.
+        rollouts_by_pool: The rollout of each pool that has one.
         backends_by_pool: The back ends of each pool.
     """
 
@@ -30,6 +31,7 @@
     services_by_name: dict[str, configuration.Service]
     versions_by_pool: dict[str, tuple[configuration.Version, ...]]
     backends_by_name: dict[str, configuration.Backend]
+    rollouts_by_pool: dict[str, configuration.Rollout]
     backends_by_pool: dict[str, tuple[configuration.Backend, ...]]
 
 
@@ -54,6 +56,7 @@
         zones_by_name={zone.name: zone for zone in tables.zones},
         services_by_name={service.name: service for service in tables.services},
         versions_by_pool=_group_by_pool(tables.versions),
+        rollouts_by_pool={one.pool: one for one in tables.rollouts},
         backends_by_name={backend.name: backend for backend in backends},
         backends_by_pool=_group_by_pool(backends),
     )
--- a/pimentoway/ops/dispatch.py
+++ b/pimentoway/ops/dispatch.py
@@ -20,7 +20,7 @@
     request,
     trace,
 )
-from pimentoway.ops import fleet, queue, scheduler, suspect
+from pimentoway.ops import fleet, judge, queue, scheduler, suspect, verdict
 
 #: The resumptions tried for one answer.
 RESUMPTIONS = 3
@@ -108,6 +108,7 @@
         plan: scheduler.Scheduler,
         link: exchange.Link,
         tracer: trace.Tracer,
+        judging: judge.Judge,
         announce: collections.abc.Callable[[evidence.Evidence], object],
     ) -> None:
         """Connect the parts.
@@ -116,11 +117,13 @@
             plan: The scheduler of the node.
             link: How to reach the back ends.
             tracer: The tracer.
+            judging: Judges versions by their answers.
             announce: Tells the other nodes a sign.
         """
         self._plan = plan
         self._link = link
         self._tracer = tracer
+        self._judge = judging
         self._announce = announce
 
     def run(self, entry: request.Request) -> Pieces:
@@ -379,6 +382,9 @@
         progress: Progress,
     ) -> None:
         nodes = self._plan.place.current.nodes
+        usual = self._judge.measure_base_pace(state)
+        slow = usual and progress.measure_pace() > verdict.SLOW_RATIO * usual
+        self._judge.note_answer(entry, state, good=not slow)
         if state.note_answer(progress.measure_pace(), nodes):
             self._announce_cold(state)
         elif state.backend.name in self._plan.place.current.owned:
@@ -392,6 +398,7 @@
         fault: error.PimentowayError,
     ) -> None:
         state.note_failure(self._plan.place.current.nodes)
+        self._judge.note_answer(entry, state, good=False)
         _LOG.write(f'an answer failed: {fault}.', entry.request_id)
 
     def _announce_cold(self, state: fleet.BackendState) -> None:
--- a/pimentoway/ops/dispatch_test.py
+++ b/pimentoway/ops/dispatch_test.py
@@ -94,6 +94,7 @@
         None,
         trace.Tracer('test'),
         None,
+        None,
     )
     assert dispatcher.await_grant(ticket) == 'engine'
 
--- a/pimentoway/ops/route.py
+++ b/pimentoway/ops/route.py
@@ -42,6 +42,7 @@
         nodes: The live nodes that share the back ends of the domain.
         owned: The names of back ends whose ramp this node owns.
         closed_zones: The failure domains that take no new work.
+        condemned: The bad versions, each as pool and version.
     """
 
     node: str
@@ -49,10 +50,13 @@
     nodes: int
     owned: frozenset[str]
     closed_zones: frozenset[str]
+    condemned: frozenset[tuple[str, str]] = frozenset()
 
 
 def order_versions(
-    versions: tuple[configuration.Version, ...], request_id: str
+    versions: tuple[configuration.Version, ...],
+    request_id: str,
+    condemned: frozenset[str],
 ) -> list[str]:
     """Order a pool's versions for one request.
 
@@ -64,10 +68,14 @@
     Args:
         versions: The versions of the pool.
         request_id: The identifier of the request.
+        condemned: The bad versions, which get no share.
 
     Returns:
         The names of the versions, the preferred one first.
     """
+    versions = tuple(
+        version for version in versions if version.name not in condemned
+    )
     total = sum(version.share for version in versions)
     if total <= 0:
         return []
@@ -159,6 +167,9 @@
     """
     pool = entry.service.pool
     versions = view.versions_by_pool.get(pool, ())
+    condemned = frozenset(
+        version for owner, version in site.condemned if owner == pool
+    )
     members = [
         states.by_name[backend.name]
         for backend in view.backends_by_pool.get(pool, ())
@@ -166,7 +177,7 @@
     ]
     return [
         [state for state in members if state.backend.version == name]
-        for name in order_versions(versions, entry.request_id)
+        for name in order_versions(versions, entry.request_id, condemned)
     ]
 
 
--- a/pimentoway/ops/scheduler.py
+++ b/pimentoway/ops/scheduler.py
@@ -8,8 +8,22 @@
 import dataclasses
 import statistics
 
-from pimentoway.core import clock, error, evidence, index, metric, request
-from pimentoway.ops import fleet, pressure, queue, route, site, suspect
+from pimentoway.core import (
+    clock,
+    error,
+    evidence,
+    index,
+    metric,
+    request,
+)
+from pimentoway.ops import (
+    fleet,
+    pressure,
+    queue,
+    route,
+    site,
+    suspect,
+)
 
 #: Seconds between two looks at queues whose back ends may have reopened.
 TICK_SECONDS = 0.1
@@ -175,7 +189,7 @@
         """
         self.view = view
         self.fleet.update(view)
-        self._update_place()
+        self.update_place()
 
     def update_nodes(self, nodes_by_zone: dict[str, tuple[str, ...]]) -> None:
         """Follow a change of the live nodes.
@@ -184,7 +198,7 @@
             nodes_by_zone: The names of the live nodes by failure domain.
         """
         self.place.note_nodes(nodes_by_zone)
-        self._update_place()
+        self.update_place()
 
     def note_order(self, order: evidence.ZoneOrder) -> bool:
         """Take in an operator's order to a failure domain.
@@ -197,9 +211,14 @@
         """
         new = self.place.note_order(order)
         if new:
-            self._update_place()
+            self.update_place()
         return new
 
+    def update_place(self) -> None:
+        """Work out anew where the node stands, and look at all queues."""
+        self.place.update(self.view, self.fleet)
+        self.tick()
+
     def check_open(self, entry: request.Request) -> None:
         """Check that a request may be queued at all.
 
@@ -381,10 +400,6 @@
         """
         return sum(len(state.inflight) for state in self.fleet.by_name.values())
 
-    def _update_place(self) -> None:
-        self.place.update(self.view, self.fleet)
-        self.tick()
-
     def _grant_rank(self, waiting: queue.FairQueue, rank: int) -> None:
         granted = True
         while granted:
--- a/pimentoway/ops/site.py
+++ b/pimentoway/ops/site.py
@@ -13,6 +13,7 @@
         name: The name of the node.
         zone: Its failure domain.
         order_by_zone: The operators' orders given directly to nodes.
+        condemnations: The signs that versions are bad.
         current: Where the node stands now.
     """
 
@@ -26,6 +27,7 @@
         self.name = name
         self.zone = zone
         self.order_by_zone: dict[str, evidence.ZoneOrder] = {}
+        self.condemnations: list[evidence.Condemnation] = []
         self.current = route.Site(name, zone, 1, frozenset(), frozenset())
         self._nodes_by_zone: dict[str, tuple[str, ...]] = {zone: (name,)}
 
@@ -79,6 +81,7 @@
             max(1, sum(1 for _ in self._iterate_nodes())),
             frozenset(owned),
             self._list_closed(view),
+            self._list_condemned(view),
         )
 
     def choose_owner(self, state: fleet.BackendState) -> str:
@@ -98,6 +101,32 @@
             nodes = tuple(self._iterate_nodes()) or (self.name,)
         return ramp.choose_owner(state.backend.name, nodes)
 
+    def note_condemnation(self, sign: evidence.Condemnation) -> bool:
+        """Take in that a version is bad.
+
+        Args:
+            sign: The sign.
+
+        Returns:
+            Whether it was new.
+        """
+        if sign in self.condemnations:
+            return False
+        self.condemnations.append(sign)
+        return True
+
+    def _list_condemned(
+        self, view: index.Index | None
+    ) -> frozenset[tuple[str, str]]:
+        # A sign of an earlier rollout does not bind a later one.
+        rollouts = view.rollouts_by_pool if view else {}
+        return frozenset(
+            (sign.pool, sign.version)
+            for sign in self.condemnations
+            if sign.pool in rollouts
+            and rollouts[sign.pool].identity == sign.rollout_id
+        )
+
     def _iterate_nodes(self) -> itertools.chain[str]:
         return itertools.chain.from_iterable(self._nodes_by_zone.values())
 
--- a/pimentoway/parser/declaration.py
+++ b/pimentoway/parser/declaration.py
@@ -84,6 +84,12 @@
             'checks_fencing': ini.Field(ini.parse_truth, False),
         },
         'application': _BACKEND_FIELDS,
+        'rollout': {
+            'pool': ini.Field(ini.parse_name),
+            'version': ini.Field(ini.parse_name),
+            'base': ini.Field(ini.parse_name),
+            'promised': ini.Field(ini.parse_time),
+        },
     }
 )
 
@@ -97,6 +103,7 @@
         'version': configuration.Version,
         'engine': configuration.Engine,
         'application': configuration.Application,
+        'rollout': configuration.Rollout,
     }
 )
 
@@ -189,19 +196,26 @@
             document.add_fault(f'caller {caller.name}', 'key', 'is used twice')
 
 
+def _check_version(
+    document: ini.Document, versions: set[str], section: str, record: object
+) -> None:
+    wanted = f'{record.pool}/{record.version}'
+    if wanted not in versions:
+        document.add_fault(section, 'version', f'no such version: {wanted}')
+
+
 def _check_pools(document: ini.Document, tables: configuration.Tables) -> None:
     backends = tables.engines + tables.applications
     versions = {
         configuration.identify_record(version) for version in tables.versions
     }
     for backend in backends:
-        wanted = f'{backend.pool}/{backend.version}'
-        if wanted not in versions:
-            document.add_fault(
-                backend.name,
-                'version',
-                f'no such version: {wanted}',
-            )
+        _check_version(document, versions, backend.name, backend)
+    for rollout in tables.rollouts:
+        section = f'rollout {rollout.name}'
+        _check_version(document, versions, section, rollout)
+        if f'{rollout.pool}/{rollout.base}' not in versions:
+            document.add_fault(section, 'base', 'no such version')
     pools = {member.pool for member in backends}
     for service in tables.services:
         if service.pool not in pools:
--- a/pimentoway/parser/ini.py
+++ b/pimentoway/parser/ini.py
@@ -3,6 +3,7 @@
 import collections
 import configparser
 import dataclasses
+import datetime
 import ipaddress
 import re
 import types
@@ -303,6 +304,24 @@
     return int(text)
 
 
+def parse_time(text: str) -> float:
+    """Parse a time such as ``2026-12-04T15:30:00+00:00``.
+
+    Args:
+        text: The text, in the form of ISO 8601 with its offset from UTC.
+
+    Returns:
+        The seconds since the epoch.
+
+    Raises:
+        ValueError: If it is none, or lacks the offset.
+    """
+    parsed = datetime.datetime.fromisoformat(text)
+    if parsed.tzinfo is None:
+        raise ValueError(f'{text!r} lacks its offset from UTC')
+    return parsed.timestamp()
+
+
 def parse_rank(text: str) -> int:
     """Parse a whole number of at least zero.
 
--- a/pimentoway/platform/head.py
+++ b/pimentoway/platform/head.py
@@ -34,11 +34,14 @@
         version: The version of the configuration in force.
         snapshot: The version of the snapshot; 0 stands for an empty one.
         changes: The changes after the snapshot, in order.
+        fence: The fencing number of the controller; changes that carry a
+            lower one are refused.
     """
 
     version: int = 0
     snapshot: int = 0
     changes: tuple[configuration.Change, ...] = ()
+    fence: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,7 +151,7 @@
 
 
 def accept_change(
-    object_store: store.Store, change: configuration.Change
+    object_store: store.Store, change: configuration.Change, fence: int = 0
 ) -> configuration.Change:
     """Accept a change by one conditional update.
 
@@ -159,6 +162,7 @@
         object_store: The object service.
         change: The change; its version is the one after that which its
             author saw.
+        fence: The fencing number of a controller; 0 for operators.
 
     Returns:
         The change as accepted. A ``PlatformConflictError`` is raised if
@@ -172,7 +176,7 @@
     for attempt in range(ATTEMPTS):
         gevent.sleep(random.uniform(0, PAUSE_SECONDS) * attempt)
         try:
-            return _try_accept(object_store, change)
+            return _try_accept(object_store, change, fence)
         except error.PlatformAmbiguousError:
             unsure = True
         except error.PlatformUnavailableError:
@@ -202,13 +206,38 @@
     return None
 
 
+def raise_fence(object_store: store.Store, fence: int) -> None:
+    """Refuse changes of earlier controllers from now on.
+
+    Args:
+        object_store: The object service.
+        fence: The fencing number of the new controller.
+
+    Raises:
+        PlatformConflictError: If a later controller came first.
+    """
+    stored = read_head(object_store)
+    if stored.head.fence >= fence:
+        raise error.PlatformConflictError('fenced off', 'fence', 'platform')
+    raised = dataclasses.replace(stored.head, fence=fence)
+    body = codec.encode_json(raised).decode()
+    object_store.write(
+        store.CONFIGURATION_KIND,
+        HEAD_NAME,
+        body,
+        stored.version,
+    )
+
+
 def _try_accept(
-    object_store: store.Store, change: configuration.Change
+    object_store: store.Store, change: configuration.Change, fence: int
 ) -> configuration.Change:
     stored = read_head(object_store)
     known = find_change(stored.head, change.change_id)
     if known:
         return known
+    if fence and fence < stored.head.fence:
+        raise error.PlatformConflictError('fenced off', 'accept', 'platform')
     if change.version != stored.head.version + 1:
         raise _make_conflict(stored.head, change)
     try:
@@ -233,12 +262,17 @@
 def _extend_head(
     object_store: store.Store, head: Head, change: configuration.Change
 ) -> Head:
-    extended = Head(change.version, head.snapshot, head.changes + (change,))
+    extended = Head(
+        change.version,
+        head.snapshot,
+        head.changes + (change,),
+        head.fence,
+    )
     if len(codec.encode_json(extended)) <= HEAD_BYTES:
         return extended
     snapshot = restore_configuration(object_store, head)
     _write_snapshot(object_store, snapshot)
-    return Head(change.version, snapshot.version, (change,))
+    return Head(change.version, snapshot.version, (change,), head.fence)
 
 
 def _write_snapshot(
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -47,6 +47,8 @@
 _ADMISSION = 'pimentoway/tools/admission_proof_test.py'
 _CONFIGURATION = 'pimentoway/tools/configuration_proof_test.py'
 
+_ROLLOUT = 'pimentoway/tools/rollout_proof_test.py'
+
 GUARDS = (
     Guard(
         'claim before dispatch',
@@ -327,6 +329,49 @@
         '        )\n    except',
         'pimentoway/platform/head_test.py',
     ),
+    Guard(
+        'bad version gets no share',
+        'ops/route.py',
+        'if version.name not in condemned',
+        'if version.name',
+        f'{_ROLLOUT} -k "outage or later"',
+    ),
+    Guard(
+        'evidence is pooled between nodes',
+        'ops/judge.py',
+        '        for tally in self._book.list_news():\n'
+        '            self._announce(tally)\n',
+        '        self._book.list_news()\n',
+        f'{_ROLLOUT} -k bad_version',
+    ),
+    Guard(
+        'blank and slow answers count as bad',
+        'ops/dispatch.py',
+        'good=not slow',
+        'good=True',
+        f'{_ROLLOUT} -k slow',
+    ),
+    Guard(
+        'late rollout is taken back',
+        'tools/controller.py',
+        'if rollout.is_late(planned, now):',
+        'if not planned:',
+        f'{_ROLLOUT} -k raised',
+    ),
+    Guard(
+        'share is small at first',
+        'ops/rollout.py',
+        'STEPS = (0.01, 0.05, 0.2, 0.5, 1)',
+        'STEPS = (0.5, 0.5, 0.5, 0.5, 1)',
+        f'{_ROLLOUT} -k small',
+    ),
+    Guard(
+        'paused controller is fenced off',
+        'platform/head.py',
+        'if fence and fence < stored.head.fence:',
+        'if fence < 0:',
+        f'{_ROLLOUT} -k fenced',
+    ),
     Guard(
         'member denies its death',
         'nodes/member.py',
--- a/pimentoway/tools/launch.py
+++ b/pimentoway/tools/launch.py
@@ -49,3 +49,13 @@
     """
     gevent.config.loop = paused_loop.LOOP_PATH
     return importlib.import_module('pimentoway.tools.bench').run()
+
+
+def main_slope() -> int:
+    """Measure the slopes of docs/CAPACITY.md with real processes.
+
+    Returns:
+        The exit status.
+    """
+    monkey.patch_all()
+    return importlib.import_module('pimentoway.tools.slope').run()
--- a/pimentoway/tools/local.py
+++ b/pimentoway/tools/local.py
@@ -54,6 +54,9 @@
         applications: The applications in each.
         base_port: The first port.
         notice: The notice period of a graceful shutdown.
+        more_engines: Further engines that are declared; they share the
+            addresses of those that run.
+        more_customers: Further customers that are declared.
         pimentoway: The words that start the system's program.
         standin: The words that start the stand-ins' program.
     """
@@ -67,6 +70,8 @@
     applications: int = 1
     base_port: int = 21_000
     notice: str = '200ms'
+    more_engines: int = 0
+    more_customers: int = 0
     pimentoway: tuple[str, ...] = (
         sys.executable,
         '-c',
@@ -193,6 +198,7 @@
                 'demo',
             ],
             check=True,
+            stdout=subprocess.DEVNULL,
         )
 
     def write_declarations(self) -> pathlib.Path:
@@ -231,6 +237,7 @@
         parts += [
             _format_backend('application', one) for one in self.applications
         ]
+        parts += self._format_more()
         text = '\n\n'.join([*parts, ''])
         declaration.read_declarations('declarations.ini', text)
         return text
@@ -286,6 +293,21 @@
             gevent.sleep(_STEP_SECONDS)
         raise error.PimentowayError('does not answer', 'start', address)
 
+    def _format_more(self) -> list[str]:
+        parts = []
+        for number in range(self.layout.more_engines):
+            like = self.engines[number % len(self.engines)]
+            more = dataclasses.replace(like, name=f'engine-more-{number}')
+            parts.append(_format_backend('engine', more))
+        for position in range(self.layout.more_customers):
+            name = f'customer-{position}'
+            parts.append(f'[customer {name}]')
+            parts.append(
+                f'[caller caller-{position}]\ncustomer = {name}\n'
+                f'tier = batch\nkey = key-{position}',
+            )
+        return parts
+
     def _start_standins(self) -> None:
         program = self.layout.standin
         self._spawn('platform', [*program, 'platform', self.platform.address])
--- a/pimentoway/tools/node.py
+++ b/pimentoway/tools/node.py
@@ -27,6 +27,7 @@
     claim,
     dispatch,
     fleet,
+    judge,
     keeper,
     once,
     permit,
@@ -35,6 +36,7 @@
 )
 from pimentoway.parser import setting
 from pimentoway.platform import feed, store
+from pimentoway.tools import controller
 
 #: The nodes of a failure domain that hold a watch.
 WATCHERS = 2
@@ -117,10 +119,12 @@
         )
         self.link = dataclasses.replace(link, note_report=self.note_report)
         self.tracer = trace.Tracer(settings.name, settings.endpoint)
+        self.judge = judge.Judge(self.plan, self.announce)
         self.dispatcher = dispatch.Dispatcher(
             self.plan,
             self.link,
             self.tracer,
+            self.judge,
             self.announce,
         )
         self.relay = relay.Relay(
@@ -159,6 +163,12 @@
             self.is_watcher,
         )
         polling = poll.Poller(self.plan.fleet, self.link)
+        deciding = controller.Controller(
+            self.settings.name,
+            self.judge,
+            self.held,
+            self.peers.object_store,
+        )
         for task in (
             self.gossiper.run,
             self._run_ticks,
@@ -167,6 +177,7 @@
             following.run,
             polling.run,
             self.borrower.run,
+            deciding.run,
         ):
             self._tasks.append(gevent.spawn(task))
 
@@ -257,6 +268,7 @@
         while True:
             gevent.sleep(scheduler.TICK_SECONDS)
             self.plan.tick()
+            self.judge.tell()
 
     def _run_syncs(self) -> None:
         joined = False
@@ -319,6 +331,16 @@
     return node.plan.note_order(sign)
 
 
+@_take_sign.register
+def _take_tally(sign: evidence.Tally, node: Node) -> bool:
+    return node.judge.note_tally(sign)
+
+
+@_take_sign.register
+def _take_condemnation(sign: evidence.Condemnation, node: Node) -> bool:
+    return node.judge.note_condemnation(sign)
+
+
 @_take_sign.register
 def _take_notice(sign: evidence.Notice, node: Node) -> bool:
     return node.relay.note_notice(sign)
