Let a limit rise again: a passing request is no queue, a burst no pace

Cause: the benchmark of one entry process stood still with a limit of 1 before engines that bore 400. An engine's report counts the request that has just arrived as waiting, so each answer lowered the limit; and tokens that arrive in one read make a pace near 0, beside which every later answer counted as slow. Ruled out: the queue and the permits (both engines were warm and open).

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 
 bench: install
 	$(PYTHON) -c 'from pimentoway.tools import launch; launch.main_bench()'
+	$(PYTHON) -c 'from pimentoway.tools import launch; launch.main_overhead()'
 
 slopes: install
 	$(PYTHON) -c 'from pimentoway.tools import launch; launch.main_slope()'
--- a/pimentoway/callers/app.py
+++ b/pimentoway/callers/app.py
@@ -230,6 +230,8 @@
         The WSGI application.
     """
     app = falcon.App()
+    app.add_error_handler(Exception, _answer_surprise)
+    app.add_error_handler(falcon.HTTPError, _answer_http_error)
     app.add_error_handler(error.PimentowayError, _answer_problem)
     service = ServiceResource(desk)
     app.add_route('/v1/chat/completions', CompletionResource(desk))
@@ -263,6 +265,29 @@
         pieces.close()
 
 
+def _answer_surprise(
+    req: falcon.Request,
+    resp: falcon.Response,
+    fault: Exception,
+    params: dict,
+) -> None:
+    # A fault of our own: nothing is known of the request, so nothing is said.
+    _LOG.write(f'an error was not expected: {fault!r}.')
+    unknown = error.OutcomeUnknownError('an internal error', 'serve')
+    _answer_problem(req, resp, unknown, params)
+
+
+def _answer_http_error(
+    req: falcon.Request,
+    resp: falcon.Response,
+    fault: falcon.HTTPError,
+    params: dict,
+) -> None:
+    wrong = error.RequestError(fault.title or 'the request is wrong', 'route')
+    _answer_problem(req, resp, wrong, params)
+    resp.status = fault.status
+
+
 def _answer_problem(
     req: falcon.Request,
     resp: falcon.Response,
--- a/pimentoway/ops/fleet_test.py
+++ b/pimentoway/ops/fleet_test.py
@@ -67,3 +67,31 @@
     for pace in paces:
         learnt.record_pace(pace, int(learnt.slots))
         assert limit.FLOOR_SLOTS <= learnt.slots <= limit.CEILING_SLOTS
+
+
+def test_burst_does_not_spoil_the_limit(warm: fleet.BackendState) -> None:
+    """Answers whose tokens came together do not make all others slow."""
+    before = warm.limit.slots
+    for _ in range(10):
+        warm.note_answer(0.0001, 1)
+        for _ in range(10):
+            warm.note_answer(0.02, 1)
+    assert warm.limit.slots >= before
+    assert warm.ramp.phase is ramp.Phase.warm
+
+
+def test_passing_request_does_not_lower(warm: fleet.BackendState) -> None:
+    """A request that is only on its way into the batch lowers no limit."""
+    before = warm.limit.slots
+    for _ in range(20):
+        paused_loop.advance(limit.WAITING_SECONDS)
+        warm.note_report(fleet.Report('boot', 1000, running=1, waiting=1))
+    assert warm.limit.slots >= before
+
+
+def test_waiting_requests_lower_the_limit(warm: fleet.BackendState) -> None:
+    """Requests that wait at a back end lower the limit to what it bears."""
+    warm.limit.slots = 20
+    paused_loop.advance(limit.WAITING_SECONDS)
+    warm.note_report(fleet.Report('boot', 1000, running=8, waiting=4))
+    assert abs(warm.limit.slots - 20 * 8 / 12) < 1
--- a/pimentoway/ops/limit.py
+++ b/pimentoway/ops/limit.py
@@ -27,6 +27,9 @@
 #: back end.
 WAITING_DECREASE = 0.5
 
+#: The waiting requests of a report that are only on their way into the batch.
+PASSING_REQUESTS = 1
+
 #: Seconds between two such falls, as reports lag.
 WAITING_SECONDS = 1
 
@@ -40,6 +43,9 @@
 #: back end.
 WAITING_DECREASE = 0.5
 
+#: The waiting requests of a report that are only on their way into the batch.
+PASSING_REQUESTS = 1
+
 #: Seconds between two such falls, as reports lag.
 WAITING_SECONDS = 1
 
@@ -89,8 +95,7 @@
         Returns:
             The pace against the best known.
         """
-        forgotten = self.best_pace * FORGETTING or pace
-        self.best_pace = min(pace, forgotten)
+        self._learn_best(pace)
         self.pace += SMOOTHING * (pace - self.pace) if self.pace else pace
         ratio = pace / self.best_pace if self.best_pace else 1.0
         if ratio > SLOW_RATIO:
@@ -121,7 +126,7 @@
             waiting: The requests that wait there.
             inflight: The requests of this node among them.
         """
-        self.queued = waiting > 0
+        self.queued = waiting > PASSING_REQUESTS
         now = clock.read_monotonic()
         if self.queued and now - self._lowered >= WAITING_SECONDS:
             self._lowered = now
@@ -137,6 +142,14 @@
         """Lower the limit: the back end refused or was far too slow."""
         self.slots = max(FLOOR_SLOTS, self.slots * DECREASE)
 
+    def _learn_best(self, pace: float) -> None:
+        # Tokens that arrive together make a pace that is too good to be
+        # true, so a better pace is approached and not taken at once.
+        best = self.best_pace * FORGETTING or pace
+        if pace < best:
+            best += SMOOTHING * (pace - best)
+        self.best_pace = min(best, max(pace, self.best_pace or pace))
+
     def _may_rise(self, ratio: float, inflight: int) -> bool:
         # A limit that is not used up says nothing about a higher one.
         used_up = inflight + 1 >= int(self.slots)
--- a/pimentoway/standin/model.py
+++ b/pimentoway/standin/model.py
@@ -166,6 +166,7 @@
         if cold:
             self.cold_until += self.traits.cold_seconds
         self.runs_by_id: dict[str, Run] = {}
+        self._live_runs: list[Run] = []
         self._prefixes.clear()
         self._reports.clear()
 
@@ -223,6 +224,9 @@
             run.state = RunState.done
             raise error.FailedError('status 500', 'run', self.name)
         self.runs_by_id[run_id] = run
+        if not self._is_full():
+            run.state = RunState.running
+        self._live_runs.append(run)
         while len(self.runs_by_id) > KEPT_RUNS:
             self.runs_by_id.pop(next(iter(self.runs_by_id)))
         gevent.spawn(self._generate, run)
@@ -303,11 +307,12 @@
         )
 
     def _count(self, state: RunState) -> int:
-        return sum(1 for run in self.runs_by_id.values() if run.state is state)
+        return sum(1 for run in self._live_runs if run.state is state)
 
     def _generate(self, run: Run) -> None:
         self._await_batch(run)
-        if run.state is not RunState.waiting:
+        if run.state not in LIVE_STATES:
+            self._forget(run)
             return
         run.state = RunState.running
         run.started = clock.read_monotonic()
@@ -321,6 +326,11 @@
         if run.state is RunState.running:
             run.state = RunState.done
             run.notify()
+        self._forget(run)
+
+    def _forget(self, run: Run) -> None:
+        # A crash has forgotten all runs already.
+        self._live_runs = [one for one in self._live_runs if one is not run]
 
     def _await_batch(self, run: Run) -> None:
         while run.state is RunState.waiting and self._is_full():
--- a/pimentoway/tools/command.py
+++ b/pimentoway/tools/command.py
@@ -1,7 +1,8 @@
 """The command line of the system.
 
 Exit statuses: 0 success; 1 the operation failed or was refused; 2 settings,
-declarations or arguments are wrong; 3 the outcome is unknown.
+declarations or arguments are wrong; 3 the outcome is unknown; 4 a rollout is
+under way.
 """
 
 import getpass
@@ -9,14 +10,23 @@
 import uuid
 from importlib import metadata
 
+import gevent
 import msgspec
 from cleo import application, helpers
 from cleo.commands import command
 
-from pimentoway.core import codec, configuration, connection, error, index
-from pimentoway.parser import declaration, setting
+from pimentoway.core import (
+    clock,
+    codec,
+    configuration,
+    connection,
+    error,
+    index,
+)
+from pimentoway.ops import rollout
+from pimentoway.parser import declaration, ini, setting
 from pimentoway.platform import client, head
-from pimentoway.tools import entry
+from pimentoway.tools import controller, entry
 
 #: The version of the program.
 VERSION = metadata.version('pimentoway')
@@ -24,6 +34,8 @@
 _FAILED = 1
 _WRONG = 2
 _UNKNOWN = 3
+_UNDER_WAY = 4
+_LOOK_SECONDS = 1
 _RATE = 50
 _FIRST_ERROR = 400
 _JSON = helpers.option('json', None, 'Prints JSON for scripts.', flag=True)
@@ -262,6 +274,49 @@
         return 0
 
 
+class RolloutCommand(CheckedCommand):
+    """Shows what became of a rollout, or waits for its end."""
+
+    name = 'rollout'
+    description = (
+        'Shows a rollout; exit status 0 done, 1 taken back, 4 under way.'
+    )
+    arguments = [helpers.argument('rollout', 'The name of the rollout.')]
+    options = [
+        _PLATFORM,
+        helpers.option('wait', None, 'Seconds to wait.', flag=False),
+        _JSON,
+    ]
+
+    def work(self) -> int:
+        """Show the rollout.
+
+        Returns:
+            The exit status.
+        """
+        wait = ini.parse_number(self.option('wait') or '0')
+        object_store = client.HttpStore(self.require('platform'), _RATE)
+        end = clock.read_monotonic() + wait
+        record = self._read(object_store)
+        while _is_running(record) and clock.read_monotonic() < end:
+            gevent.sleep(_LOOK_SECONDS)
+            record = self._read(object_store)
+        if self.option('json'):
+            self.line(codec.encode_json(record).decode())
+        elif record:
+            self.line(
+                f'{record.phase.value}: share {record.share}; {record.reason}',
+            )
+        else:
+            self.line('not begun')
+        if _is_running(record):
+            return _UNDER_WAY
+        return 0 if record.phase is rollout.Phase.done else _FAILED
+
+    def _read(self, object_store: client.HttpStore) -> rollout.Record | None:
+        return controller.read_record(object_store, self.argument('rollout'))
+
+
 class KeyCommand(CheckedCommand):
     """Digests a key."""
 
@@ -311,6 +366,7 @@
         StatusCommand,
         TraceCommand,
         ZoneCommand,
+        RolloutCommand,
         KeyCommand,
     ):
         program.add(kind())
@@ -371,5 +427,9 @@
     return ''.join(f'\n  {line}' for line in text)
 
 
+def _is_running(record: rollout.Record | None) -> bool:
+    return record is None or record.phase is rollout.Phase.running
+
+
 def _read_start(hop: Hop) -> float:
     return hop.start
--- a/pimentoway/tools/entry_process_test.py
+++ b/pimentoway/tools/entry_process_test.py
@@ -244,6 +244,31 @@
     assert 'Idempotency-Key' in read_problem(answered).message
 
 
+def test_unknown_path(deployed: local.Deployment) -> None:
+    """An unknown path gets an error of the usual form."""
+    answered = local.fetch(deployed.entries[0].address, 'GET', '/v1/nothing')
+    assert answered.status == 404
+    assert read_problem(answered).type == 'invalid_request'
+
+
+def test_rollout_that_has_not_begun(deployed: local.Deployment) -> None:
+    """The verb for rollouts tells by its status that none has begun."""
+    done = subprocess.run(
+        [
+            *deployed.layout.pimentoway,
+            'rollout',
+            'none',
+            '--platform',
+            deployed.platform.address,
+        ],
+        check=False,
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 4
+    assert done.stdout.strip() == 'not begun'
+
+
 def test_header_flood(deployed: local.Deployment) -> None:
     """A flood of headers is refused and the process goes on."""
     host, port = deployed.entries[0].address.split(':')
--- a/pimentoway/tools/launch.py
+++ b/pimentoway/tools/launch.py
@@ -59,3 +59,13 @@
     """
     monkey.patch_all()
     return importlib.import_module('pimentoway.tools.slope').run()
+
+
+def main_overhead() -> int:
+    """Measure what an entry process adds to a call.
+
+    Returns:
+        The exit status.
+    """
+    monkey.patch_all()
+    return importlib.import_module('pimentoway.tools.overhead').run()
--- a/pimentoway/tools/slope.py
+++ b/pimentoway/tools/slope.py
@@ -20,6 +20,7 @@
 
 import gevent
 import numpy
+from matplotlib import pyplot
 
 from pimentoway.core import codec, configuration
 from pimentoway.platform import client, head
@@ -34,6 +35,9 @@
 #: The file to which all measured points are written.
 POINTS_PATH = pathlib.Path('docs/slopes.json')
 
+#: The file to which the plot is written.
+PLOT_PATH = pathlib.Path('docs/slopes.png')
+
 _TICKS = os.sysconf('SC_CLK_TCK')
 _PAGE = os.sysconf('SC_PAGE_SIZE')
 _MEGABYTE = 1_000_000
@@ -355,6 +359,7 @@
     rows = [dataclasses.asdict(point) for point in points]
     POINTS_PATH.write_text(json.dumps(rows, indent=1))
     print_tables(points)
+    plot_points(points)
     return 0
 
 
@@ -378,6 +383,34 @@
     return points
 
 
+def plot_points(points: list[Point]) -> None:
+    """Plot the series that have several points, with their fits.
+
+    Args:
+        points: The points.
+    """
+    chosen = [
+        ('nodes', 'gossip bytes/s'),
+        ('nodes', 'core'),
+        ('engines', 'core'),
+        ('customers', 'memory MB'),
+    ]
+    figure, axes = pyplot.subplots(2, 2, figsize=(10, 7))
+    for (series, name), axis in zip(chosen, axes.flat, strict=True):
+        group = [
+            one for one in points if (one.series, one.figure) == (series, name)
+        ]
+        sizes = [one.size for one in group]
+        slope, base, _ = fit_line(group)
+        axis.plot(sizes, [one.level for one in group], 'o')
+        axis.plot(sizes, [slope * size + base for size in sizes])
+        axis.set_xlabel(series)
+        axis.set_ylabel(name)
+        axis.set_ylim(bottom=0)
+    figure.tight_layout()
+    figure.savefig(PLOT_PATH)
+
+
 def print_tables(points: list[Point]) -> None:
     """Print a row for each series and figure, with the fit.
 
