--- a/pimentoway/nodes/relay.py
+++ b/pimentoway/nodes/relay.py
@@ -12,7 +12,14 @@
 
 from pimentoway.core import error, evidence, log
 from pimentoway.nodes import member, message
-from pimentoway.ops import claim, keeper, permit, prefix, scheduler
+from pimentoway.ops import (
+    claim,
+    claimlog,
+    keeper,
+    permit,
+    prefix,
+    scheduler,
+)
 
 _LOG = log.Log('relay')
 
@@ -111,7 +118,7 @@
         """
         self._known = known
         self._calls = calls
-        self.claims: claim.ClaimLog | None = None
+        self.claims: claimlog.ClaimLog | None = None
         self._lender = permit.Lender(known.plan)
         self._notices_by_node: dict[str, evidence.Notice] = {}
 
@@ -187,17 +194,17 @@
         except error.PlatformError:
             return message.AppendReply(None, unsure=True)
 
-    def choose_owner(self, shard: int) -> str:
+    def choose_owner(self, number: int) -> str:
         """Choose the node that gathers the entries of a shard.
 
         Args:
-            shard: The number of the shard.
+            number: The number of the shard.
 
         Returns:
             The name of the node.
         """
         names = [other.name for other in self._known.members.list_live()]
-        return prefix.rank_rendezvous(shard, names)[0]
+        return prefix.rank_rendezvous(number, names)[0]
 
     def append(self, owner: str, entry: claim.Entry) -> claim.Entry:
         """Let another node append an entry to the claim log.
--- a/pimentoway/ops/once.py
+++ b/pimentoway/ops/once.py
@@ -12,7 +12,7 @@
 
 from pimentoway.backends import event
 from pimentoway.core import clock, error, log, request
-from pimentoway.ops import claim, dispatch, scheduler
+from pimentoway.ops import claim, claimlog, dispatch, scheduler
 
 #: Seconds after the deadline in which the run may still state its outcome.
 GRACE_SECONDS = 0.1
@@ -43,7 +43,7 @@
         self,
         plan: scheduler.Scheduler,
         dispatcher: dispatch.Dispatcher,
-        claims: claim.ClaimLog,
+        claims: claimlog.ClaimLog,
     ) -> None:
         """Connect the parts.
 
@@ -105,7 +105,7 @@
 
     def _fly(self, key: str, entry: request.Request, flight: Flight) -> None:
         try:
-            made = self._claims.claim(entry)
+            made = self._claims.claim_request(entry)
         except error.PimentowayError as fault:
             flight.answer.set_exception(fault)
         else:
--- a/pimentoway/ops/scheduler.py
+++ b/pimentoway/ops/scheduler.py
@@ -23,6 +23,7 @@
     route,
     site,
     suspect,
+    throughput,
 )
 
 #: Seconds between two looks at queues whose back ends may have reopened.
@@ -37,12 +38,6 @@
 #: The factor by which a run may take longer than estimated.
 RUN_MARGIN = 1.2
 
-#: The part of a new answer in the moving average of lengths.
-SMOOTHING = 0.05
-
-#: The time over which the throughput of a pool is measured, in seconds.
-RATE_SECONDS = 10
-
 
 @dataclasses.dataclass(frozen=True)
 class Identity:
@@ -57,85 +52,12 @@
     zone: str
 
 
-class Throughput:
-    """The tokens a second that a pool answers, as a moving average."""
-
-    def __init__(self) -> None:
-        """Start without any answer."""
-        self._tokens: float = 0
-        self._time = clock.read_monotonic()
-        self._first: float = 0
-
-    def record(self, tokens: int) -> None:
-        """Count an answer.
-
-        Args:
-            tokens: Its tokens.
-        """
-        self._fade()
-        if not self._first:
-            self._first = clock.read_monotonic()
-        self._tokens += tokens
-
-    def estimate_wait(self, tokens: int) -> float:
-        """Estimate how long waiting tokens take.
-
-        Args:
-            tokens: The tokens that wait.
-
-        Returns:
-            The seconds; 0 while too little is known.
-        """
-        self._fade()
-        known = clock.read_monotonic() - self._first
-        if not self._first or known < RATE_SECONDS or self._tokens < 1:
-            return 0
-        return tokens * RATE_SECONDS / self._tokens
-
-    def _fade(self) -> None:
-        now = clock.read_monotonic()
-        part = (now - self._time) / RATE_SECONDS
-        self._tokens *= max(0, 1 - part)
-        self._time = now
-
-
-class Lengths:
-    """How long answers are against their bound, by service."""
-
-    def __init__(self) -> None:
-        """Start without any answer."""
-        self._ratio_by_service: dict[str, float] = {}
-
-    def record(self, entry: request.Request, tokens: int) -> None:
-        """Learn from an answer.
-
-        Args:
-            entry: The request.
-            tokens: The tokens of its answer.
-        """
-        name = entry.service.name
-        ratio = min(1, tokens / entry.output_tokens)
-        known = self._ratio_by_service.get(name, 0)
-        self._ratio_by_service[name] = known + (ratio - known) * SMOOTHING
-
-    def estimate(self, entry: request.Request) -> float:
-        """Estimate the length of an answer.
-
-        Args:
-            entry: The request.
-
-        Returns:
-            Its part of the bound, 0 while nothing is known.
-        """
-        return self._ratio_by_service.get(entry.service.name, 0)
-
-
 @dataclasses.dataclass
 class Pool:
     """The queue of a pool and what is known of its speed."""
 
     waiting: queue.FairQueue
-    throughput: Throughput
+    throughput: throughput.Throughput
 
 
 class Scheduler:
@@ -178,7 +100,7 @@
         ] = _keep_permit
         self._announce = announce
         self._queue_tokens = queue_tokens
-        self._lengths = Lengths()
+        self._lengths = throughput.Lengths()
         self._pools_by_name: dict[str, Pool] = {}
 
     def update_view(self, view: index.Index) -> None:
@@ -474,7 +396,9 @@
     def _find_pool(self, name: str) -> Pool:
         pool = self._pools_by_name.get(name)
         if pool is None:
-            pool = Pool(queue.FairQueue(self._queue_tokens), Throughput())
+            pool = Pool(
+                queue.FairQueue(self._queue_tokens), throughput.Throughput()
+            )
             self._pools_by_name[name] = pool
         return pool
 
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -52,9 +52,9 @@
 GUARDS = (
     Guard(
         'claim before dispatch',
-        'ops/claim.py',
-        'return Claim(held, granted=held == wanted)',
-        'return Claim(wanted, granted=True)',
+        'ops/claimlog.py',
+        'return claim.Claim(held, granted=held == wanted)',
+        'return claim.Claim(wanted, granted=True)',
         _ONCE,
     ),
     Guard(
@@ -71,14 +71,14 @@
     ),
     Guard(
         'lost claim answer is read back',
-        'ops/claim.py',
+        'ops/shard.py',
         '            unsure = unsure or progress is Progress.unsure\n',
         '            if progress is Progress.unsure:\n'
         '                self._open = None\n'
         '                self._latest_by_key.clear()\n'
         '                entries = [\n'
         '                    dataclasses.replace(\n'
-        '                        one, claim_id=uuid.uuid4().hex)\n'
+        '                        one, claim_id=str(attempt) + one.claim_id)\n'
         '                    for one in entries\n'
         '                ]\n',
         _ONCE,
@@ -106,7 +106,7 @@
     ),
     Guard(
         'updates of a shard are shared',
-        'ops/claim.py',
+        'ops/claimlog.py',
         '        if owner == self._node:\n',
         '        if owner:\n',
         f'{_ONCE} -k share_writes',
--- a/pimentoway/tools/node.py
+++ b/pimentoway/tools/node.py
@@ -24,7 +24,7 @@
 )
 from pimentoway.nodes import gossip, member, message, relay
 from pimentoway.ops import (
-    claim,
+    claimlog,
     dispatch,
     fleet,
     judge,
@@ -131,7 +131,7 @@
             relay.Knowledge(self.held, self.members, self.plan),
             peers.calls,
         )
-        self.relay.claims = claim.ClaimLog(
+        self.relay.claims = claimlog.ClaimLog(
             settings.name,
             peers.object_store,
             self.relay,
