--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -83,6 +83,18 @@
         '                ]\n',
         _ONCE,
     ),
+    Guard(
+        'one conditional update decides a claim',
+        'ops/shard.py',
+        '            self._open_version,\n        )\n        self._learn',
+        '            self._store.read(\n'
+        '                store.CLAIM_KIND,\n'
+        '                self._name_segment(segment.number),\n'
+        '            ).version,\n'
+        '        )\n'
+        '        self._learn',
+        'pimentoway/ops/shard_test.py',
+    ),
     Guard(
         'unknown outcome stays claimed',
         'ops/once.py',
