Judge versions sequentially, measured against a fixed threshold

Cause: the choice of the judgement rested on argument; counts told each second were about 3 KB/s a node at nine nodes during a rollout, over the limit. Now counts with new bad answers are told within a second, others each minute.

--- a/pimentoway/ops/verdict.py
+++ b/pimentoway/ops/verdict.py
@@ -37,9 +37,12 @@
 #: The pace against the old version's from which an answer counts as slow.
 SLOW_RATIO = 2.5
 
-#: Seconds between two tellings of a node's counts.
+#: Seconds between two tellings of a node's counts that hold new bad answers.
 TELL_SECONDS = 1
 
+#: Seconds between two tellings of counts that hold new good answers only.
+GOOD_SECONDS = 60
+
 _MILLISECONDS = 1000
 
 
@@ -94,7 +97,7 @@
         self._sequence = 0
         self._told = float('-inf')
         self._own_by_subject: dict[Subject, Count] = {}
-        self._told_by_subject: dict[Subject, Count] = {}
+        self._told_by_subject: dict[Subject, tuple[float, Count]] = {}
         self._heard: dict[tuple[str, Subject], evidence.Tally] = {}
         self._pooled_by_subject: dict[Subject, Count] = collections.defaultdict(
             Count
@@ -155,19 +158,10 @@
         self._sequence = max(self._sequence + 1, wall)
         news = []
         for subject, count in self._own_by_subject.items():
-            if self._told_by_subject.get(subject) != count:
-                self._told_by_subject[subject] = dataclasses.replace(count)
-                news.append(
-                    evidence.Tally(
-                        self._node,
-                        subject.pool,
-                        subject.version,
-                        subject.service,
-                        count.good,
-                        count.bad,
-                        self._sequence,
-                    ),
-                )
+            if self._is_due(subject, count):
+                told = dataclasses.replace(count)
+                self._told_by_subject[subject] = (now, told)
+                news.append(self._make_tally(subject, count))
         return news
 
     def find_bad(self, pool: str, version: str) -> str:
@@ -202,6 +196,28 @@
             for subject in gone:
                 table.pop(subject)
 
+    def _is_due(self, subject: Subject, count: Count) -> bool:
+        # Bad answers are rare and urgent; good ones are neither.
+        told_at, told = self._told_by_subject.get(
+            subject,
+            (float('-inf'), Count()),
+        )
+        if count.bad != told.bad:
+            return True
+        waited = clock.read_monotonic() - told_at
+        return count != told and waited >= GOOD_SECONDS
+
+    def _make_tally(self, subject: Subject, count: Count) -> evidence.Tally:
+        return evidence.Tally(
+            self._node,
+            subject.pool,
+            subject.version,
+            subject.service,
+            count.good,
+            count.bad,
+            self._sequence,
+        )
+
     def _add(self, subject: Subject, base: str, news: Count) -> None:
         pooled = self._pooled_by_subject[subject]
         pooled.good += news.good
--- a/pimentoway/tools/bench.py
+++ b/pimentoway/tools/bench.py
@@ -10,12 +10,13 @@
 import dataclasses
 import itertools
 import random
+import statistics
 import sys
 import types
 from unittest import mock
 
 from pimentoway.core import clock, evidence
-from pimentoway.ops import fleet, pressure, queue, route
+from pimentoway.ops import fleet, pressure, queue, route, verdict
 from pimentoway.standin import model, replay, world
 
 #: Seconds for which requests come.
@@ -45,6 +46,9 @@
 #: The part of requests that the greedy customer sends.
 GREEDY_PART = 0.6
 
+#: The answers after which a version that was not found to be bad is good.
+JUDGED_ANSWERS = 2000
+
 #: The rank of the tier whose customers are compared.
 COMPARED_RANK = 1
 
@@ -383,6 +387,74 @@
     return rates[0], rates[1]
 
 
+def count_sequential(rate: float, usual: float, seed: int) -> int:
+    """Count the answers until the judge finds a version to be bad.
+
+    Args:
+        rate: The version's rate of bad answers.
+        usual: The old version's rate.
+        seed: The seed of the random numbers.
+
+    Returns:
+        The answers, or ``JUDGED_ANSWERS`` if it is not found to be bad.
+    """
+    draw = random.Random(seed)
+    book = verdict.Book('bench')
+    new = verdict.Subject('text', 'v2', 'captions')
+    old = verdict.Subject('text', 'v1', 'captions')
+    for number in range(JUDGED_ANSWERS):
+        for _ in range(5):
+            book.observe(old, 'v1', good=draw.random() >= usual)
+        book.observe(new, 'v1', good=draw.random() >= rate)
+        if book.find_bad('text', 'v2'):
+            return number + 1
+    return JUDGED_ANSWERS
+
+
+def count_fixed(rate: float, usual: float, seed: int) -> int:
+    """Count the answers until a fixed threshold is passed: the baseline.
+
+    Args:
+        rate: The version's rate of bad answers.
+        usual: Passed over.
+        seed: The seed of the random numbers.
+
+    Returns:
+        The answers until over a tenth of the last 50 are bad.
+    """
+    draw = random.Random(seed)
+    last: collections.deque[bool] = collections.deque(maxlen=50)
+    for number in range(JUDGED_ANSWERS):
+        last.append(draw.random() < rate)
+        if number >= 20 and sum(last) > len(last) / 10:
+            return number + 1
+    return JUDGED_ANSWERS
+
+
+def print_verdicts() -> None:
+    """Compare the sequential judgement with a fixed threshold."""
+    _print(
+        '| rate, old rate | sequential: blamed, median answers | fixed: '
+        'blamed, median answers |'
+    )
+    _print('|---|---|---|')
+    for rate, usual in (
+        (0.02, 0.02),
+        (0.1, 0.1),
+        (0.3, 0.02),
+        (0.5, 0.02),
+        (1, 0.02),
+    ):
+        cells = []
+        for judge in (count_sequential, count_fixed):
+            counts = [judge(rate, usual, seed) for seed in range(300)]
+            blamed = sum(1 for one in counts if one < JUDGED_ANSWERS)
+            cells.append(
+                f'{blamed / len(counts):.3f}, {statistics.median(counts):g}',
+            )
+        _print(f'| {rate}, {usual} | {cells[0]} | {cells[1]} |')
+
+
 def run() -> int:
     """Run the benchmark and print its tables.
 
@@ -415,6 +487,8 @@
             f'| {policy.name} | {run_zone(policy):.4f} | {relief:.1f} | '
             f'{answered:.4f} |',
         )
+    _print('')
+    print_verdicts()
     slow, fast = run_claims()
     _print('')
     _print(
--- a/pimentoway/tools/command.py
+++ b/pimentoway/tools/command.py
@@ -5,6 +5,7 @@
 under way.
 """
 
+import dataclasses
 import getpass
 import pathlib
 import uuid
@@ -194,6 +195,42 @@
         self.line(f'version {version}, change {change.change_id}')
 
 
+class ShowCommand(CheckedCommand):
+    """Shows the records of the configuration in force."""
+
+    name = 'show'
+    description = (
+        'Shows tiers, customers, callers, zones, services, versions, '
+        'engines, applications or rollouts.'
+    )
+    arguments = [helpers.argument('table', 'What to show.')]
+    options = [_PLATFORM, _JSON]
+
+    def work(self) -> int:
+        """Show the records.
+
+        Returns:
+            The exit status.
+
+        Raises:
+            ValueError: If there are no such records.
+        """
+        table = self.argument('table')
+        if table not in configuration.TABLE_NAMES:
+            known = ', '.join(configuration.TABLE_NAMES)
+            raise ValueError(f'{table!r} is none of {known}')
+        object_store = client.HttpStore(self.require('platform'), _RATE)
+        current = head.read_configuration(object_store)
+        records = getattr(current.tables, table)
+        if self.option('json'):
+            self.line(codec.encode_json(records).decode())
+            return 0
+        for record in records:
+            fields = dataclasses.asdict(record).items()
+            self.line(' '.join(f'{name}={text}' for name, text in fields))
+        return 0
+
+
 class StatusCommand(CheckedCommand):
     """Shows the status of a node."""
 
@@ -363,6 +400,7 @@
         EntryCommand,
         CheckCommand,
         ApplyCommand,
+        ShowCommand,
         StatusCommand,
         TraceCommand,
         ZoneCommand,
--- a/pimentoway/tools/entry_process_test.py
+++ b/pimentoway/tools/entry_process_test.py
@@ -319,6 +319,7 @@
         ['status', '--node', entry.operators],
         ['trace', run_id, '--node', entry.operators],
         ['status', '--json', '--node', entry.operators],
+        ['show', 'tiers', '--platform', deployed.platform.address],
     ):
         done = subprocess.run(
             [*program, *words],
--- a/pimentoway/tools/launch.py
+++ b/pimentoway/tools/launch.py
@@ -8,8 +8,6 @@
 import gevent
 from gevent import monkey
 
-from pimentoway.standin import paused_loop
-
 
 def main() -> int:
     """Run the command line of the system.
@@ -47,6 +45,7 @@
     Returns:
         The exit status.
     """
+    paused_loop = importlib.import_module('pimentoway.standin.paused_loop')
     gevent.config.loop = paused_loop.LOOP_PATH
     return importlib.import_module('pimentoway.tools.bench').run()
 
