--- a/pimentoway/standin/replay.py
+++ b/pimentoway/standin/replay.py
@@ -7,7 +7,7 @@
 import typing
 
 from pimentoway.core import clock, codec, evidence
-from pimentoway.standin import model, world
+from pimentoway.standin import model, shape, world
 
 #: Seconds after the last event until every request has ended.
 TAIL_SECONDS = 40
@@ -17,7 +17,7 @@
 
 _MILLISECONDS = 1000
 _SHAPES = types.MappingProxyType(
-    {'albumar': world.make_albumar, 'quetzal': world.make_quetzal},
+    {'albumar': shape.make_albumar, 'quetzal': shape.make_quetzal},
 )
 
 
--- a/pimentoway/standin/world.py
+++ b/pimentoway/standin/world.py
@@ -14,7 +14,7 @@
 from pimentoway.core import clock, codec, configuration, error, index, request
 from pimentoway.parser import setting
 from pimentoway.platform import head
-from pimentoway.standin import model, network, paused_loop, store
+from pimentoway.standin import model, network, paused_loop, peer, shape, store
 from pimentoway.tools import node as tools_node
 
 #: The pool of the engines.
@@ -35,77 +35,6 @@
 _DECIMAL_PORT = 9000
 
 
-@dataclasses.dataclass(frozen=True)
-class Shape:
-    """What a world consists of.
-
-    Attributes:
-        zones: The failure domains.
-        nodes: The nodes in each.
-        engines: The traits of the engines in each.
-        engine_counts: The engines in each, if not all of ``engines``.
-        applications: The applications in each.
-        tiers: The number of tiers; the first is the highest.
-        customers: The number of customers.
-        deadline: Seconds that a request may take.
-        cold_slots: The requests that a cold back end bears, as declared.
-        cold_seconds: Seconds for which a back end counts as cold.
-        queue_tokens: The tokens that may wait in one queue.
-    """
-
-    zones: tuple[str, ...] = ('norte', 'sur')
-    nodes: int = 2
-    engines: tuple[model.Traits, ...] = (model.Traits(), model.Traits())
-    engine_counts: tuple[int, ...] = ()
-    applications: int = 1
-    tiers: int = 2
-    customers: int = 2
-    deadline: float = 20
-    cold_slots: int = 2
-    cold_seconds: float = 1
-    queue_tokens: int = 400_000
-
-
-def make_albumar(traits: tuple[model.Traits, ...], **extra: object) -> Shape:
-    """Make the shape of Estudio Albumar's deployment.
-
-    Args:
-        traits: The traits of three engines, of which each failure domain has
-            two or three.
-        **extra: Further attributes.
-
-    Returns:
-        Four failure domains, eight nodes, ten engines, four applications.
-    """
-    return Shape(
-        zones=('artigas', 'salto', 'rocha', 'maldonado'),
-        engines=traits,
-        engine_counts=(3, 3, 2, 2),
-        customers=5,
-        **extra,
-    )
-
-
-def make_quetzal(traits: tuple[model.Traits, ...], **extra: object) -> Shape:
-    """Make the shape of Tarjetas Carrito Quetzal's deployment.
-
-    Args:
-        traits: The traits of two engines, of which each failure domain has
-            one or two.
-        **extra: Further attributes.
-
-    Returns:
-        Three failure domains, six nodes, five engines, three applications.
-    """
-    return Shape(
-        zones=('mixco', 'antigua', 'escuintla'),
-        engines=traits,
-        engine_counts=(2, 2, 1),
-        customers=5,
-        **extra,
-    )
-
-
 @dataclasses.dataclass
 class Attempt:
     """A caller's request and what became of it.
@@ -154,14 +83,14 @@
         tables: The declarations in force.
     """
 
-    def __init__(self, shape: Shape) -> None:
+    def __init__(self, wanted: shape.Shape) -> None:
         """Build a world and let it settle.
 
         Args:
-            shape: What it consists of.
+            wanted: What it consists of.
         """
         paused_loop.restart_tasks(0)
-        self.shape = shape
+        self.shape = wanted
         self.network = network.Network()
         self.platform = store.MemoryStore()
         self.engines_by_name: dict[str, model.EngineModel] = {}
@@ -173,8 +102,8 @@
         self._numbers = itertools.count(1)
         self.tables = self._build_tables()
         self.apply(self.tables)
-        for zone in shape.zones:
-            for _ in range(shape.nodes):
+        for zone in wanted.zones:
+            for _ in range(wanted.nodes):
                 self.start_node(zone)
         self.advance(SETTLE_SECONDS)
 
@@ -213,9 +142,9 @@
         calls = self._take_address(zone)
         settings = self._make_settings(name, zone, (gossip, calls))
         peers = tools_node.Peers(
-            network.FakeStore(host, self.platform),
-            network.FakeTransport(host),
-            network.FakeCalls(host),
+            peer.FakeStore(host, self.platform),
+            peer.FakeTransport(host),
+            peer.FakeCalls(host),
         )
         link = dataclasses.replace(
             tools_node.make_link(settings),
--- a/pimentoway/tools/admission_proof_test.py
+++ b/pimentoway/tools/admission_proof_test.py
@@ -8,7 +8,7 @@
 
 from pimentoway.core import clock, configuration, evidence
 from pimentoway.ops import scheduler
-from pimentoway.standin import model, network, world
+from pimentoway.standin import model, network, shape, world
 
 #: Seconds after which a closed back end must get no new work.
 CLOSED_SECONDS = 3
@@ -24,8 +24,8 @@
         The world.
     """
     engines = (model.Traits(slots=4), model.Traits(slots=4))
-    shape = world.Shape(zones=('norte',), engines=engines, **traits)
-    return world.World(shape)
+    wanted = shape.Shape(zones=('norte',), engines=engines, **traits)
+    return world.World(wanted)
 
 
 def count_outcomes(built: world.World, rank: int) -> collections.Counter:
@@ -161,7 +161,7 @@
 def test_cold_engine_gets_no_more_than_it_bears(slots: int) -> None:
     """A cold start of fewer slots than nodes is never overrun."""
     cold = model.Traits(cold_seconds=20, cold_slots=slots)
-    shape = world.Shape(
+    wanted = shape.Shape(
         zones=('norte', 'sur'),
         nodes=3,
         engines=(cold, cold),
@@ -169,7 +169,7 @@
         cold_seconds=20,
         deadline=30,
     )
-    built = world.World(shape)
+    built = world.World(wanted)
     nodes = built.list_nodes()
     for turn in range(200):
         built.chat(nodes[turn % len(nodes)], tokens=5)
@@ -185,7 +185,7 @@
     """An engine that crashed under load comes back into a ramp."""
     warm = model.Traits(cold_seconds=15, cold_slots=2, restart_seconds=3)
     built = world.World(
-        world.Shape(
+        shape.Shape(
             nodes=4, engines=(warm, warm), cold_seconds=15, deadline=60
         ),
     )
@@ -205,7 +205,7 @@
 def test_load_leaves_an_engine_that_fell_back() -> None:
     """An engine that falls back into a cold start loses its load in seconds."""
     traits = model.Traits(cold_factor=10, cold_seconds=60, cold_slots=100)
-    built = world.World(world.Shape(engines=(traits, traits), deadline=30))
+    built = world.World(shape.Shape(engines=(traits, traits), deadline=30))
     built.advance(60)
     nodes = built.list_nodes()
     engine = built.engines_by_name['engine-norte-0']
@@ -222,7 +222,7 @@
 
 def test_straggler_loses_its_load() -> None:
     """An engine that slows down far gets few requests."""
-    built = world.World(world.Shape(zones=('norte',), deadline=30))
+    built = world.World(shape.Shape(zones=('norte',), deadline=30))
     nodes = built.list_nodes()
     engine = built.engines_by_name['engine-norte-0']
     for turn in range(400):
@@ -239,7 +239,7 @@
 @pytest.mark.parametrize('down', [False, True])
 def test_zone_out_gets_no_new_work(down: bool) -> None:
     """A failure domain taken out gets nothing new, platform or not."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     nodes = built.list_nodes()
     built.platform.mark_down(down=down)
     order = evidence.ZoneOrder(
@@ -265,7 +265,7 @@
 
 def test_zone_comes_back() -> None:
     """A failure domain that comes back gets work again."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     node = built.list_nodes('norte')[0]
     for state in ('out', 'in'):
         sign = evidence.ZoneOrder(
@@ -286,7 +286,7 @@
 
 def test_leaving_engine_gets_no_new_work() -> None:
     """An engine declared as leaving gets nothing new after seconds."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     leaving = [
         dataclasses.replace(one, leaving='norte-0' in one.name)
         for one in built.tables.engines
@@ -305,7 +305,7 @@
 
 def test_draining_engine_gets_no_new_work() -> None:
     """An engine that reports that it drains gets nothing new after seconds."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     built.engines_by_name['engine-norte-0'].draining = True
     told = clock.read_monotonic()
     nodes = built.list_nodes()
@@ -317,7 +317,7 @@
 
 def test_graceful_shutdown_cuts_nothing() -> None:
     """A node that shuts down finishes what it took and refuses the rest."""
-    built = world.World(world.Shape(deadline=60))
+    built = world.World(shape.Shape(deadline=60))
     node = built.list_nodes()[0]
     taken = [built.chat(node, tokens=200) for _ in range(40)]
     built.advance(0.5)
@@ -332,7 +332,7 @@
 
 def test_cut_off_domain_goes_on() -> None:
     """A domain cut off from all others and the platform serves its callers."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     built.network.cut('norte', 'sur')
     built.network.cut('norte', network.PLATFORM)
     built.advance(10)
@@ -343,7 +343,7 @@
 
 def test_dead_members_are_noticed_and_replaced() -> None:
     """Killed nodes leave the membership in seconds, new ones join it."""
-    built = world.World(world.Shape(nodes=3))
+    built = world.World(shape.Shape(nodes=3))
     for killed in built.list_nodes()[:2]:
         built.kill_node(killed.settings.name)
     built.start_node('norte')
@@ -356,7 +356,7 @@
 
 def test_cut_members_find_each_other_again() -> None:
     """Failure domains that were cut off for long find each other again."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     built.network.cut('norte', 'sur')
     built.advance(120)
     built.network.heal()
@@ -367,7 +367,7 @@
 
 def test_declared_zone_out_is_closed() -> None:
     """A failure domain declared as out gets nothing new after seconds."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     zones = (
         configuration.Zone('norte', configuration.ZoneState.out),
         configuration.Zone('sur'),
--- a/pimentoway/tools/bench.py
+++ b/pimentoway/tools/bench.py
@@ -17,7 +17,7 @@
 
 from pimentoway.core import clock, evidence
 from pimentoway.ops import fleet, pressure, queue, route, verdict
-from pimentoway.standin import model, replay, world
+from pimentoway.standin import model, replay, shape, world
 
 #: Seconds for which requests come.
 LOAD_SECONDS = 30
@@ -219,8 +219,8 @@
     Returns:
         The world.
     """
-    shape = world.make_quetzal(_TRAITS, deadline=_DEADLINE, tiers=3)
-    built = world.World(shape)
+    wanted = shape.make_quetzal(_TRAITS, deadline=_DEADLINE, tiers=3)
+    built = world.World(wanted)
     nodes = built.list_nodes()
     for number in range(300):
         built.chat(nodes[number % len(nodes)], rank=2, tokens=4)
--- a/pimentoway/tools/configuration_proof_test.py
+++ b/pimentoway/tools/configuration_proof_test.py
@@ -4,7 +4,7 @@
 
 from pimentoway.core import configuration
 from pimentoway.ops import keeper
-from pimentoway.standin import network, world
+from pimentoway.standin import network, shape, world
 
 #: Seconds within which an accepted configuration must be in force.
 FORCE_SECONDS = 5
@@ -36,7 +36,7 @@
 
 def test_change_is_in_force_within_seconds() -> None:
     """Every node runs an accepted change within seconds."""
-    built = world.World(world.Shape(nodes=5))
+    built = world.World(shape.Shape(nodes=5))
     for number in range(5):
         add_customer(built, f'new-{number}')
         built.advance(FORCE_SECONDS)
@@ -45,14 +45,14 @@
 
 def test_few_watches_serve_a_domain() -> None:
     """However many nodes there are, few hold a watch."""
-    built = world.World(world.Shape(nodes=8))
+    built = world.World(shape.Shape(nodes=8))
     watchers = [node for node in built.list_nodes() if node.is_watcher()]
     assert len(watchers) == 4
 
 
 def test_change_passes_a_cut_to_the_platform() -> None:
     """A domain cut off from the platform gets a change from other nodes."""
-    built = world.World(world.Shape(nodes=3))
+    built = world.World(shape.Shape(nodes=3))
     built.network.cut('norte', network.PLATFORM)
     add_customer(built, 'new')
     built.advance(FORCE_SECONDS)
@@ -61,7 +61,7 @@
 
 def test_cut_off_domain_catches_up() -> None:
     """A domain cut off from all keeps its version and catches up later."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     built.network.cut('norte', 'sur')
     built.network.cut('norte', network.PLATFORM)
     built.advance(10)
@@ -76,7 +76,7 @@
 
 def test_new_node_takes_the_highest_version() -> None:
     """A new VM during an outage of the platform learns from its peers."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     add_customer(built, 'new')
     built.advance(FORCE_SECONDS)
     built.platform.mark_down(down=True)
@@ -87,7 +87,7 @@
 
 def test_node_without_configuration_refuses() -> None:
     """A node that has no configuration serves nothing and says so."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     built.network.cut('norte', network.PLATFORM)
     built.network.cut('norte', 'sur')
     for node in built.list_nodes('norte'):
@@ -102,7 +102,7 @@
 
 def test_stale_reader_does_not_revert() -> None:
     """A node fed an old configuration keeps the newer one."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     node = built.list_nodes()[0]
     old = node.held.current
     add_customer(built, 'new')
@@ -113,7 +113,7 @@
 
 def test_lagging_node_gets_a_snapshot() -> None:
     """A node that missed more changes than are kept gets all at once."""
-    built = world.World(world.Shape(zones=('norte',), nodes=3))
+    built = world.World(shape.Shape(zones=('norte',), nodes=3))
     late = built.list_nodes()[2]
     host = built.hosts_by_name[late.settings.name]
     host.freeze()
@@ -127,7 +127,7 @@
 
 def test_slow_platform_delays_no_service() -> None:
     """While the platform is slow, repeatable requests are not."""
-    built = world.World(world.Shape())
+    built = world.World(shape.Shape())
     built.platform.faults.delay = 30
     sent = [built.chat(node) for node in built.list_nodes()]
     built.advance(2)
--- a/pimentoway/tools/node_test.py
+++ b/pimentoway/tools/node_test.py
@@ -11,7 +11,7 @@
 from hypothesis import stateful, strategies
 
 from pimentoway.core import clock
-from pimentoway.standin import model, network, world
+from pimentoway.standin import model, network, shape, world
 
 _ZONES = ('norte', 'sur')
 _GRACE_SECONDS = 3
@@ -39,11 +39,11 @@
     def __init__(self) -> None:
         """Build the world."""
         super().__init__()
-        shape = world.Shape(
+        wanted = shape.Shape(
             engines=(model.Traits(), model.Traits(gap=0.05)),
             deadline=12,
         )
-        self.world = world.World(shape)
+        self.world = world.World(wanted)
         self.expected_by_id: dict[str, str] = {}
         self.version_by_node: dict[str, int] = {}
 
--- a/pimentoway/tools/once_proof_test.py
+++ b/pimentoway/tools/once_proof_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pimentoway.core import error
-from pimentoway.standin import network, world
+from pimentoway.standin import network, shape, world
 
 
 @pytest.fixture(name='small')
@@ -13,7 +13,7 @@
     Returns:
         The world.
     """
-    return world.World(world.Shape())
+    return world.World(shape.Shape())
 
 
 def test_resend_gets_recorded_outcome(small: world.World) -> None:
--- a/pimentoway/tools/rollout_proof_test.py
+++ b/pimentoway/tools/rollout_proof_test.py
@@ -7,7 +7,7 @@
 from pimentoway.core import clock, codec, configuration, error
 from pimentoway.ops import rollout
 from pimentoway.platform import head, lease
-from pimentoway.standin import model, store, world
+from pimentoway.standin import model, shape, store, world
 from pimentoway.tools import controller
 
 #: Seconds from the start of a rollout to its promised time.
@@ -37,7 +37,7 @@
         """
         engines = tuple(model.Traits() for _ in range(4))
         self.built = world.World(
-            world.Shape(engines=engines, deadline=10, nodes=nodes),
+            shape.Shape(engines=engines, deadline=10, nodes=nodes),
         )
         self.planned = configuration.Rollout(
             'text',
--- a/pimentoway/tools/stream_proof_test.py
+++ b/pimentoway/tools/stream_proof_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pimentoway.standin import model, world
+from pimentoway.standin import model, shape, world
 from pimentoway.tools import node_test
 
 
@@ -15,7 +15,7 @@
     Returns:
         The world.
     """
-    return world.World(world.Shape())
+    return world.World(shape.Shape())
 
 
 def count_runs(small: world.World, request_id: str) -> int:
@@ -106,7 +106,7 @@
 
 def test_frozen_engine_does_not_hold_the_answer() -> None:
     """A request on a frozen engine is answered by its deadline."""
-    small = world.World(world.Shape(deadline=13))
+    small = world.World(shape.Shape(deadline=13))
     for engine in small.engines_by_name.values():
         engine.traits.frozen = True
     sent = small.chat(small.list_nodes()[0])
@@ -118,7 +118,7 @@
 def test_crash_request_takes_few_engines_down() -> None:
     """A request that crashes engines, resent everywhere, stops at two."""
     small = world.World(
-        world.Shape(engines=tuple(model.Traits() for _ in range(4))),
+        shape.Shape(engines=tuple(model.Traits() for _ in range(4))),
     )
     nodes = small.list_nodes()
     for turn in range(12):
@@ -137,7 +137,7 @@
 def test_innocents_of_a_crash_are_cleared() -> None:
     """Requests that died beside the guilty one run again after a while."""
     small = world.World(
-        world.Shape(zones=('norte',), engines=(model.Traits(),))
+        shape.Shape(zones=('norte',), engines=(model.Traits(),))
     )
     node = small.list_nodes()[0]
     for _ in range(30):
