--- a/pimentoway/ops/limit.py
+++ b/pimentoway/ops/limit.py
@@ -148,7 +148,7 @@
         best = self.best_pace * FORGETTING or pace
         if pace < best:
             best += SMOOTHING * (pace - best)
-        self.best_pace = min(best, max(pace, self.best_pace or pace))
+        self.best_pace = min(best, max(pace, self.best_pace))
 
     def _may_rise(self, ratio: float, inflight: int) -> bool:
         # A limit that is not used up says nothing about a higher one.
--- a/pimentoway/tools/controller.py
+++ b/pimentoway/tools/controller.py
@@ -5,6 +5,7 @@
 platform.
 """
 
+import collections
 import dataclasses
 import random
 import uuid
@@ -36,6 +37,7 @@
         judging: judge.Judge,
         held: keeper.Keeper,
         object_store: store.Store,
+        is_candidate: collections.abc.Callable[[], bool],
     ) -> None:
         """Connect the parts.
 
@@ -44,7 +46,10 @@
             judging: Knows which versions are bad.
             held: The configuration that the node holds.
             object_store: The platform's object service.
+            is_candidate: Tells whether the node may hold the lease; few do,
+                as each looks at it all the time.
         """
+        self._is_candidate = is_candidate
         self._judge_bad = judging.find_condemned
         self._held = held
         self._store = object_store
@@ -60,6 +65,8 @@
             gevent.sleep(DECISION_SECONDS * random.uniform(JITTER, 1))
             if not self._held.current.tables.rollouts:
                 continue
+            if not self._is_candidate():
+                continue
             try:
                 self._decide()
             except error.PimentowayError as fault:
--- a/pimentoway/tools/node.py
+++ b/pimentoway/tools/node.py
@@ -168,6 +168,7 @@
             self.judge,
             self.held,
             self.peers.object_store,
+            self.is_watcher,
         )
         for task in (
             self.gossiper.run,
