--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -28,6 +28,17 @@
 #: The bytes read from a connection at once.
 BLOCK_BYTES = 16_384
 
+#: Milliseconds for which sent bytes may stay unacknowledged, and the probes
+#: of an idle connection: a silent peer is noticed after two to three seconds.
+SILENCE_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -243,32 +254,76 @@
         while idle:
             kept, sock = idle.pop()
             young = clock.read_monotonic() - kept < IDLE_SECONDS
-            if young and not call.fresh and _is_quiet(sock):
+            if young and not call.fresh and not is_readable(sock):
                 return sock
             sock.close()
-        return _connect(call)
+        return connect(call.address, call.connect_seconds)
+
+
+def is_readable(sock: gevent_socket.socket) -> bool:
+    """Tell whether something came on a connection, or its end.
+
+    Args:
+        sock: The connection.
+
+    Returns:
+        Whether reading would not wait.
+    """
+    poller = gevent_select.poll()
+    poller.register(sock, gevent_select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def wait_for_room(sock: gevent_socket.socket, seconds: float) -> bool:
+    """Wait until a connection takes more bytes.
+
+    Args:
+        sock: The connection.
+        seconds: The longest wait.
+
+    Returns:
+        Whether it takes more.
+    """
+    try:
+        gevent_socket.wait_write(sock.fileno(), max(seconds, LEAST_SECONDS))
+    except TimeoutError:
+        return False
+    return True
 
 
-def _is_quiet(sock: gevent_socket.socket) -> bool:
-    # A readable idle connection was closed by the peer.
-    readable, _, _ = gevent_select.select([sock], [], [], 0)
-    return not readable
+def watch_over(sock: gevent_socket.socket) -> None:
+    """Make a connection break soon after its peer went silent.
+
+    Args:
+        sock: The connection.
+    """
+    for level, option, setting in SILENCE_OPTIONS:
+        sock.setsockopt(level, option, setting)
 
 
-def _connect(call: Call) -> gevent_socket.socket:
-    host, _, port = call.address.rpartition(':')
+def connect(address: str, seconds: float) -> gevent_socket.socket:
+    """Connect to a peer.
+
+    Args:
+        address: Its IP number and port.
+        seconds: The longest time that it may take.
+
+    Returns:
+        The connection.
+
+    Raises:
+        ConnectError: If no connection was made.
+    """
+    host, _, port = address.rpartition(':')
     try:
-        sock = gevent_socket.create_connection(
-            (host, int(port)),
-            call.connect_seconds,
-        )
+        sock = gevent_socket.create_connection((host, int(port)), seconds)
     except (OSError, ValueError) as fault:
         raise error.ConnectError(
             f'no connection: {fault}',
             'connect',
-            call.address,
+            address,
         ) from fault
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    watch_over(sock)
     return sock
 
 
--- a/pimentoway/core/log.py
+++ b/pimentoway/core/log.py
@@ -3,6 +3,9 @@
 import typing
 
 import eliot
+import msgspec
+
+from pimentoway.core import outlet
 
 
 class Log:
@@ -44,3 +47,15 @@
         stream: The stream.
     """
     eliot.to_file(stream)
+
+
+def open_outlet(place: outlet.Outlet) -> None:
+    """Send all log lines to an outlet as JSON.
+
+    Args:
+        place: The outlet.
+    """
+    encoder = msgspec.json.Encoder(enc_hook=str)
+    eliot.add_destinations(
+        lambda line: place.write(encoder.encode(line) + b'\n'),
+    )
--- /dev/null
+++ b/pimentoway/nodes/election.py
@@ -0,0 +1,155 @@
+"""Which broker a node asks: the first of a common order that it reaches.
+
+The order only spreads the load; whoever is asked, the back ends themselves
+bound what they run. So no lease is needed, and nothing is lost when two nodes
+disagree for a while.
+"""
+
+import gevent
+import xxhash
+from gevent import event as gevent_event
+
+from pimentoway.core import deployment, error, log, place, registry
+from pimentoway.nodes import frame, link
+from pimentoway.ops import admission, ask, view
+
+#: Seconds between looks for a better broker than the one that is asked.
+LOOK_SECONDS = 1.0
+
+#: Seconds between looks while the node's own broker is used although others
+#: should be reachable.
+HURRY_SECONDS = 0.25
+
+_LOG = log.Log('election')
+
+
+def order_peers(peers: list[deployment.Peer]) -> list[deployment.Peer]:
+    """Order nodes by how well they suit as the common broker.
+
+    Args:
+        peers: The nodes.
+
+    Returns:
+        The nodes, the most suitable first: the strongest, and among equals
+        by a hash of their names.
+    """
+    return sorted(
+        peers,
+        key=lambda peer: (-peer.cores, xxhash.xxh32_intdigest(peer.name.encode())),
+    )
+
+
+class Election:
+    """Keeps a node asking the best broker that it reaches."""
+
+    def __init__(
+        self,
+        here: place.Place,
+        boot: str,
+        known: view.View,
+        slots: admission.Admission,
+    ) -> None:
+        """Start with the node's own broker.
+
+        Args:
+            here: Where the node runs.
+            boot: Tells this run of the node from others.
+            known: The view.
+            slots: Asks for slots.
+        """
+        self._here = here
+        self._boot = boot
+        self._view = known
+        self._slots = slots
+        self._link: link.Link | None = None
+        self._changed = gevent_event.Event()
+        known.follow(self._follow)
+
+    @property
+    def broker_name(self) -> str:
+        """Name the node whose broker is asked.
+
+        Returns:
+            Its name.
+        """
+        return self._link.peer if self._link else self._here.name
+
+    def run(self) -> None:
+        """Look for the best broker for ever."""
+        while True:
+            self._changed.clear()
+            better = self._list_better()
+            reached = self._reach(better)
+            hurry = better and not reached and self._link is None
+            self._changed.wait(HURRY_SECONDS if hurry else LOOK_SECONDS)
+
+    def _list_better(self) -> list[deployment.Peer]:
+        here = deployment.Peer(
+            self._here.name,
+            self._here.zone,
+            self._here.peers,
+            self._here.cores,
+        )
+        peers_by_name = dict(self._view.peers_by_name)
+        if not peers_by_name:
+            return self._list_seeds()
+        peers_by_name[here.name] = here
+        better = []
+        for peer in order_peers(list(peers_by_name.values())):
+            if peer.name in {here.name, self.broker_name}:
+                break
+            better.append(peer)
+        return better
+
+    def _list_seeds(self) -> list[deployment.Peer]:
+        if self._link:
+            return []
+        return [
+            deployment.Peer(address, '', address, 0)
+            for address in self._here.seeds
+            if address != self._here.peers
+        ]
+
+    def _reach(self, better: list[deployment.Peer]) -> bool:
+        for peer in better:
+            try:
+                opened = link.open_link(peer.address, peer.name, self._view)
+            except error.ConnectError as fault:
+                _LOG.write('no link.', peer=peer.name, reason=str(fault))
+                continue
+            self._use(opened)
+            return True
+        return False
+
+    def _use(self, opened: link.Link) -> None:
+        before = self._link
+        self._link = opened
+        opened.send(
+            frame.Attach(
+                self._here.name,
+                self._boot,
+                self._slots.list_running(),
+                self._slots.list_usage(),
+            ),
+        )
+        _LOG.write('asks a broker.', broker=opened.peer)
+        self._slots.switch(opened.send)
+        if before:
+            before.close()
+        gevent.spawn(self._carry, opened)
+
+    def _carry(self, opened: link.Link) -> None:
+        opened.run(self._take)
+        if self._link is opened:
+            self._link = None
+            _LOG.write('lost its broker.', broker=opened.peer)
+            self._slots.switch(None)
+            self._changed.set()
+
+    def _take(self, source: link.Link, content: frame.Message) -> None:
+        if isinstance(content, ask.Grant | ask.Refusal):
+            self._slots.take(content)
+
+    def _follow(self, kind: registry.Kind) -> None:
+        if kind is registry.Kind.peers:
+            self._changed.set()
--- /dev/null
+++ b/pimentoway/nodes/frame.py
@@ -0,0 +1,181 @@
+"""The messages between a node and its broker, and how they are framed.
+
+gRPC was measured at a third of a core for the asks of one zone at the target
+size, so these small and frequent messages have a frame of their own; the
+encoding is MessagePack by msgspec.
+"""
+
+import msgspec
+
+from pimentoway.core import deployment, error, registry
+from pimentoway.ops import ask, view
+
+#: The bytes that tell the length of a frame.
+LENGTH_BYTES = 4
+
+#: The bytes of a frame at the most; a configuration with thousands of routes
+#: takes about a megabyte.
+FRAME_BYTES = 16 * 1024 * 1024
+
+#: What the records of each kind are.
+TYPES_BY_KIND = {
+    registry.Kind.configuration: deployment.Deployment,
+    registry.Kind.engines: deployment.Engine,
+    registry.Kind.rollouts: deployment.Rollout,
+    registry.Kind.evacuations: str,
+    registry.Kind.peers: deployment.Peer,
+}
+
+
+class Attach(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Begins a connection: the node will ask here from now on.
+
+    Attributes:
+        node: The name of the node.
+        boot: Tells this run of the node from others.
+        running: The grants that it still uses.
+        usage: What it used of the quotas lately.
+    """
+
+    node: str
+    boot: str
+    running: list[ask.Running]
+    usage: list[ask.Usage]
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Tells that the sender lives, and what it knows.
+
+    Attributes:
+        revisions: The revision of each kind, in the order of the kinds.
+    """
+
+    revisions: list[int]
+
+
+class Want(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Asks for the records of a kind.
+
+    Attributes:
+        kind: The kind.
+    """
+
+    kind: str
+
+
+class Records(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """The records of a kind.
+
+    Attributes:
+        kind: The kind.
+        revision: The revision of the store that they follow.
+        packed: The records by name, encoded.
+    """
+
+    kind: str
+    revision: int
+    packed: bytes
+
+
+Message = (
+    Attach
+    | Beat
+    | Want
+    | Records
+    | ask.Ask
+    | ask.Grant
+    | ask.Refusal
+    | ask.Report
+)
+
+_DECODER = msgspec.msgpack.Decoder(Message)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(content: Message) -> bytes:
+    """Encode a message with its frame.
+
+    Args:
+        content: The message.
+
+    Returns:
+        The bytes.
+    """
+    packed = _ENCODER.encode(content)
+    return len(packed).to_bytes(LENGTH_BYTES, 'big') + packed
+
+
+def pack_records(snapshot: view.Snapshot) -> Records:
+    """Encode all records of a kind.
+
+    Args:
+        snapshot: The records.
+
+    Returns:
+        The message that carries them.
+    """
+    packed = _ENCODER.encode(snapshot.records_by_name)
+    return Records(snapshot.kind.value, snapshot.revision, packed)
+
+
+def unpack_records(content: Records) -> view.Snapshot:
+    """Decode the records of a kind.
+
+    Args:
+        content: The message.
+
+    Returns:
+        The records.
+
+    Raises:
+        NodeError: If they can't be decoded.
+    """
+    try:
+        kind = registry.Kind(content.kind)
+        records = msgspec.msgpack.decode(
+            content.packed,
+            type=dict[str, TYPES_BY_KIND[kind]],
+        )
+    except (msgspec.MsgspecError, ValueError) as fault:
+        raise error.NodeError(f'bad records: {fault}', 'decode') from fault
+    return view.Snapshot(kind, content.revision, records)
+
+
+class FrameReader:
+    """Cuts what a node sends into messages."""
+
+    def __init__(self) -> None:
+        """Start at the beginning of a connection."""
+        self._rest = bytearray()
+
+    def feed(self, block: bytes) -> list[Message]:
+        """Take in what a node sent.
+
+        Args:
+            block: The bytes.
+
+        Returns:
+            The messages that are whole.
+
+        Raises:
+            NodeError: If they can't be decoded.
+        """
+        self._rest += block
+        messages = []
+        while len(self._rest) >= LENGTH_BYTES:
+            size = int.from_bytes(self._rest[:LENGTH_BYTES], 'big')
+            if size > FRAME_BYTES:
+                raise error.NodeError('a frame is too large', 'decode')
+            end = LENGTH_BYTES + size
+            if len(self._rest) < end:
+                break
+            messages.append(_decode(bytes(self._rest[LENGTH_BYTES:end])))
+            del self._rest[:end]
+        return messages
+
+
+def _decode(packed: bytes) -> Message:
+    try:
+        return _DECODER.decode(packed)
+    except msgspec.MsgspecError as fault:
+        raise error.NodeError(f'bad message: {fault}', 'decode') from fault
--- /dev/null
+++ b/pimentoway/objects/__init__.py
@@ -0,0 +1,1 @@
+"""The object service that keeps configuration, claims and leases."""
--- a/pimentoway/platform/client.py
+++ b/pimentoway/objects/client.py
@@ -6,7 +6,7 @@
 import gevent
 
 from pimentoway.core import clock, codec, connection, error, metric
-from pimentoway.platform import store
+from pimentoway.objects import store
 
 #: Seconds to connect to the platform.
 CONNECT_SECONDS = 1
--- a/pimentoway/platform/feed.py
+++ b/pimentoway/objects/feed.py
@@ -11,7 +11,7 @@
 
 from pimentoway.core import error, log
 from pimentoway.ops import keeper
-from pimentoway.platform import head, store
+from pimentoway.objects import head, store
 
 #: Seconds for which a watch waits.
 WATCH_SECONDS = 30
--- a/pimentoway/platform/head.py
+++ b/pimentoway/objects/head.py
@@ -11,7 +11,7 @@
 import gevent
 
 from pimentoway.core import codec, configuration, error
-from pimentoway.platform import store
+from pimentoway.objects import store
 
 #: The name of the head.
 HEAD_NAME = 'head'
--- a/pimentoway/platform/head_test.py
+++ b/pimentoway/objects/head_test.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from pimentoway.core import configuration, error
-from pimentoway.platform import head
+from pimentoway.objects import head
 from pimentoway.standin import paused_loop, store
 
 
--- a/pimentoway/platform/lease.py
+++ b/pimentoway/objects/lease.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from pimentoway.core import clock, codec, error
-from pimentoway.platform import head, store
+from pimentoway.objects import head, store
 
 #: The kind of leases.
 LEASE_KIND = 'lease'
--- /dev/null
+++ b/pimentoway/ops/broker.py
@@ -0,0 +1,437 @@
+"""The broker of slots: which waiting request gets which back end, and when.
+
+Each node has a broker. The nodes agree on one whose broker all of them ask
+(see ``nodes.link``), so that there is one queue in effect; a node that can't
+reach it asks its own. All steps run without yielding to other tasks.
+"""
+
+import collections
+import dataclasses
+
+from pimentoway.core import clock, deployment, log, place, registry
+from pimentoway.ops import (
+    advance,
+    ask,
+    crash,
+    line,
+    quota,
+    station,
+    view,
+    window,
+)
+
+#: The cost, in seconds, of a back end in another failure domain: bytes
+#: between failure domains are dear, and the way is longer.
+ZONE_SECONDS = 0.06
+
+#: The cost, in seconds, of a back end that is twice as slow as usual.
+PACE_SECONDS = 0.05
+
+#: The cost, in seconds, of a back end that fails all requests.
+FAILURE_SECONDS = 0.6
+
+#: The cost, in seconds, of a back end whose slots are all but used up.
+CROWD_SECONDS = 0.03
+
+#: Seconds for which the runs of a node that vanished are counted: back ends
+#: stop soon after a connection is gone.
+VANISHED_SECONDS = 1.5
+
+#: The part of the retry budget that is given out; the rest covers repeats
+#: that other brokers allow while nodes change theirs.
+BUDGET_PART = 0.7
+
+#: The shortest and the longest time after which a caller is asked to return.
+RETRY_FLOOR_SECONDS = 0.15
+RETRY_CEILING_SECONDS = 3.0
+
+#: The part of the time left that a run must at least have.
+LEAST_RUN_PART = 0.5
+
+_LOG = log.Log('broker')
+
+Reply = collections.abc.Callable[[str, ask.Grant | ask.Refusal], None]
+
+
+@dataclasses.dataclass
+class _Traffic:
+    """The arrivals at a service, for the retry budget."""
+
+    asks: window.Window
+    repeats: window.Window
+
+
+class Broker:
+    """The broker of a node.
+
+    Attributes:
+        share: The part of the nodes that ask here.
+        station_by_engine: The back ends.
+    """
+
+    def __init__(
+        self, bounds: place.Bounds, known: view.View, reply: Reply
+    ) -> None:
+        """Start with what a view knows.
+
+        Args:
+            bounds: The promises of the deployment.
+            known: The view.
+            reply: Sends a grant or a refusal to a node.
+        """
+        self.share = 1.0
+        self.station_by_engine: dict[str, station.Station] = {}
+        self.advances = advance.AdvanceTable(bounds, known)
+        self._bounds = bounds
+        self._view = known
+        self._reply = reply
+        self._line_by_service: dict[str, line.Line] = collections.defaultdict(
+            line.Line,
+        )
+        self._traffic_by_service: dict[str, _Traffic] = {}
+        self._quotas = quota.QuotaBook(bounds.quota_window)
+        self._crashes = crash.CrashLedger()
+        self._vanished_by_owner: dict[str, float] = {}
+        known.follow(self._follow)
+        self._follow(registry.Kind.engines)
+
+    def submit(self, owner: str, entry: ask.Ask) -> None:
+        """Take an ask; the reply may come at once or later.
+
+        Args:
+            owner: The node that asks.
+            entry: The ask.
+        """
+        reason, wait = self._check(entry)
+        if reason is not None:
+            self._refuse((owner, entry.number), entry, reason, wait)
+            return
+        now = clock.read_monotonic()
+        ticket = line.Ticket(
+            key=(owner, entry.number),
+            ask=entry,
+            arrived=now,
+            goal=now + entry.goal_left,
+            deadline=now + entry.time_left,
+        )
+        traffic = self._find_traffic(entry.service)
+        (traffic.repeats if entry.repeats else traffic.asks).add()
+        self._line_by_service[entry.service].add(ticket)
+        self.pump(entry.service)
+
+    def finish(self, owner: str, report: ask.Report) -> None:
+        """Take the report on a grant, or the withdrawal of an ask.
+
+        Args:
+            owner: The node.
+            report: What became of it.
+        """
+        key = (owner, report.number)
+        for service, waiting in self._line_by_service.items():
+            ticket = waiting.waiting_by_key.pop(key, None)
+            if ticket:
+                self._quotas.refund(ticket.ask.customer, ticket.ask.cost)
+                self.pump(service)
+                return
+        for here in self.station_by_engine.values():
+            if key in here.run_by_key:
+                self._end_run(here, key, report)
+                return
+
+    def adopt(
+        self, owner: str, runs: list[ask.Running], used: list[ask.Usage]
+    ) -> None:
+        """Take over the runs of a node that asks here from now on.
+
+        Args:
+            owner: The node.
+            runs: Its runs.
+            used: What it used of the quotas lately.
+        """
+        known = self._vanished_by_owner.pop(owner, None) is not None
+        for run in runs:
+            here = self.station_by_engine.get(run.engine)
+            key = (owner, run.ask.number)
+            if here and key not in here.run_by_key:
+                here.run_by_key[key] = station.Run(
+                    run.ask,
+                    clock.read_monotonic(),
+                )
+        if known:
+            # What it used was given out here.
+            return
+        for usage in used:
+            customer = self._find_customer(usage.customer)
+            if customer:
+                self._quotas.charge(customer, usage.cost)
+
+    def drop_owner(self, owner: str) -> None:
+        """Forget the asks of a node that vanished.
+
+        Args:
+            owner: The node.
+        """
+        for waiting in self._line_by_service.values():
+            gone = [key for key in waiting.waiting_by_key if key[0] == owner]
+            for key in gone:
+                ticket = waiting.waiting_by_key.pop(key)
+                self._quotas.refund(ticket.ask.customer, ticket.ask.cost)
+        end = clock.read_monotonic() + VANISHED_SECONDS
+        self._vanished_by_owner[owner] = end
+
+    def tick(self) -> None:
+        """Give up what is too late, and look at all lines again."""
+        now = clock.read_monotonic()
+        over = [
+            owner for owner, end in self._vanished_by_owner.items() if end <= now
+        ]
+        for owner in over:
+            self._vanished_by_owner.pop(owner)
+            self._drop_runs(owner)
+        for service, waiting in self._line_by_service.items():
+            waiting.fade()
+            self._expire(waiting, now)
+            self.pump(service)
+
+    def pump(self, service: str) -> None:
+        """Grant the free slots of a service to waiting requests.
+
+        Args:
+            service: The service.
+        """
+        waiting = self._line_by_service[service]
+        if not waiting.waiting_by_key:
+            return
+        free = self._list_free(service)
+        for ticket in waiting.list_ordered():
+            if not free:
+                return
+            here = self._choose(ticket.ask, free)
+            if here is None:
+                continue
+            waiting.note_start(ticket)
+            here.start(ticket.key, ticket.ask)
+            self.advances.note_start(here.engine)
+            self._log_grant(ticket, here)
+            grant = ask.Grant(ticket.ask.number, here.engine.name)
+            self._reply(ticket.key[0], grant)
+            if not here.count_free(self.share):
+                free.remove(here)
+
+    def decide_rollout(
+        self, service: str
+    ) -> tuple[advance.Advance, advance.State] | None:
+        """Decide how a rollout goes on.
+
+        Args:
+            service: The service.
+
+        Returns:
+            The rollout and what has to be reported of it, if anything.
+        """
+        order = self._view.rollouts_by_service[service]
+        running = sum(
+            len(here.run_by_key)
+            for here in self.station_by_engine.values()
+            if here.engine.service == service
+            and here.engine.version != order.version
+        )
+        return self.advances.decide(service, running)
+
+    def count_waiting(self) -> int:
+        """Count the requests that wait.
+
+        Returns:
+            The requests.
+        """
+        return sum(
+            len(waiting.waiting_by_key)
+            for waiting in self._line_by_service.values()
+        )
+
+    def _check(self, entry: ask.Ask) -> tuple[ask.Reason | None, float]:
+        block = self._crashes.measure_block(entry.fingerprint)
+        if block:
+            return ask.Reason.suspect, block
+        if entry.repeats and not self._allows_repeat(entry.service):
+            return ask.Reason.no_budget, RETRY_FLOOR_SECONDS
+        wait = self._estimate_wait(entry)
+        if wait is None:
+            return ask.Reason.no_backend, RETRY_FLOOR_SECONDS * 2
+        run = self._line_by_service[entry.service].pattern_by_route[entry.route]
+        if wait and wait + run.first_seconds > entry.time_left:
+            return ask.Reason.overloaded, wait / 2
+        if not entry.repeats:
+            wait = self._spend_quota(entry)
+            if wait:
+                return ask.Reason.over_quota, wait
+        return None, 0
+
+    def _allows_repeat(self, service: str) -> bool:
+        traffic = self._find_traffic(service)
+        budget = (
+            self._bounds.retry_ratio * traffic.asks.measure()
+            + self._bounds.retry_slack * self.share
+        )
+        return traffic.repeats.measure() + 1 <= budget * BUDGET_PART
+
+    def _spend_quota(self, entry: ask.Ask) -> float:
+        customer = self._find_customer(entry.customer)
+        if customer is None:
+            return 0
+        return self._quotas.spend(customer, entry.cost, self.share)
+
+    def _estimate_wait(self, entry: ask.Ask) -> float | None:
+        stations = [
+            here
+            for here in self.station_by_engine.values()
+            if here.engine.service == entry.service
+            and self._view.is_usable(here.engine)
+        ]
+        if not stations:
+            return None
+        work = self._line_by_service[entry.service].estimate_work(entry)
+        if not work:
+            return 0
+        slots = sum(here.count_slots(self.share) for here in stations)
+        return work / slots
+
+    def _find_customer(self, name: str) -> deployment.Customer | None:
+        if not name or self._view.deployment is None:
+            return None
+        return self._view.deployment.customers_by_name.get(name)
+
+    def _find_traffic(self, service: str) -> _Traffic:
+        traffic = self._traffic_by_service.get(service)
+        if traffic is None:
+            seconds = self._bounds.retry_window
+            traffic = _Traffic(window.Window(seconds), window.Window(seconds))
+            self._traffic_by_service[service] = traffic
+        return traffic
+
+    def _list_free(self, service: str) -> list[station.Station]:
+        return [
+            here
+            for here in self.station_by_engine.values()
+            if here.engine.service == service
+            and self._view.is_usable(here.engine)
+            and here.count_free(self.share)
+        ]
+
+    def _choose(
+        self, entry: ask.Ask, free: list[station.Station]
+    ) -> station.Station | None:
+        rate = self._find_cold_rate(entry.service)
+        allowed = [
+            here
+            for here in free
+            if here.engine.name not in entry.avoided
+            and here.bears_cold(rate, self.share)
+            and self.advances.allows(here.engine)
+        ]
+        if not allowed:
+            return None
+        preferred = self.advances.prefer(entry.service, allowed)
+        return min(
+            preferred,
+            key=lambda here: self._measure_cost(entry, here),
+        )
+
+    def _find_cold_rate(self, service: str) -> float:
+        held = self._view.deployment
+        found = held and held.services_by_name.get(service)
+        return found.cold_rate if found else 0
+
+    def _measure_cost(self, entry: ask.Ask, here: station.Station) -> float:
+        cost = PACE_SECONDS * here.pace + FAILURE_SECONDS * here.failures
+        if here.engine.zone != entry.zone:
+            cost += ZONE_SECONDS
+        used = len(here.run_by_key) / here.count_slots(self.share)
+        return cost + CROWD_SECONDS * used
+
+    def _end_run(
+        self, here: station.Station, key: station.RunKey, report: ask.Report
+    ) -> None:
+        run = here.end(key, report)
+        entry = run.ask
+        waiting = self._line_by_service[entry.service]
+        if report.outcome in ask.UNSENT_OUTCOMES:
+            self._quotas.refund(entry.customer, entry.cost)
+        elif report.outcome is ask.Outcome.cut:
+            breaks = self._crashes.note_break(
+                entry.fingerprint,
+                here.engine.name,
+            )
+            if breaks >= crash.BREAKS:
+                _LOG.write('a request is refused.', breaks=breaks)
+        elif report.outcome is ask.Outcome.answered:
+            self._crashes.note_answer(entry.fingerprint)
+            usual = waiting.pattern_by_route[entry.route].run_seconds
+            here.note_pace(report.total / max(usual, report.total / 4))
+            waiting.note_run(entry.route, report)
+        self.advances.note_end(here, entry, report)
+        self.pump(entry.service)
+
+    def _refuse(
+        self,
+        key: station.RunKey,
+        entry: ask.Ask,
+        reason: ask.Reason,
+        wait: float,
+    ) -> None:
+        retry = min(RETRY_CEILING_SECONDS, max(RETRY_FLOOR_SECONDS, wait))
+        self._reply(key[0], ask.Refusal(entry.number, reason, retry))
+
+    def _expire(self, waiting: line.Line, now: float) -> None:
+        over = [
+            ticket
+            for ticket in waiting.waiting_by_key.values()
+            if self._is_hopeless(waiting, ticket, now)
+        ]
+        for ticket in over:
+            waiting.waiting_by_key.pop(ticket.key)
+            self._quotas.refund(ticket.ask.customer, ticket.ask.cost)
+            self._refuse(ticket.key, ticket.ask, ask.Reason.expired, 0)
+
+    def _is_hopeless(
+        self, waiting: line.Line, ticket: line.Ticket, now: float
+    ) -> bool:
+        run = waiting.pattern_by_route[ticket.ask.route].run_seconds
+        needed = min(run, ticket.ask.time_left) * LEAST_RUN_PART
+        return ticket.deadline - now < needed
+
+    def _drop_runs(self, owner: str) -> None:
+        for here in self.station_by_engine.values():
+            gone = [key for key in here.run_by_key if key[0] == owner]
+            for key in gone:
+                here.run_by_key.pop(key)
+
+    def _follow(self, kind: registry.Kind) -> None:
+        if kind is registry.Kind.engines:
+            self._follow_engines()
+        self.advances.follow()
+        for service in list(self._line_by_service):
+            self.pump(service)
+
+    def _follow_engines(self) -> None:
+        known = self._view.engines_by_name
+        for name in set(self.station_by_engine).difference(known):
+            self.station_by_engine.pop(name)
+        for name, engine in known.items():
+            here = self.station_by_engine.get(name)
+            if here is None:
+                self.station_by_engine[name] = station.Station(engine)
+            else:
+                here.update(engine)
+
+    def _log_grant(self, ticket: line.Ticket, here: station.Station) -> None:
+        waited = clock.read_monotonic() - ticket.arrived
+        _LOG.write(
+            'granted.',
+            owner=ticket.key[0],
+            number=ticket.ask.number,
+            engine=here.engine.name,
+            waited=round(waited, 4),
+            running=len(here.run_by_key),
+            waiting=self.count_waiting(),
+        )
--- a/pimentoway/ops/claimlog.py
+++ b/pimentoway/ops/claimlog.py
@@ -13,7 +13,7 @@
 
 from pimentoway.core import clock, error, log, request
 from pimentoway.ops import claim, shard
-from pimentoway.platform import store
+from pimentoway.objects import store
 
 #: Seconds for which a claim may wait for the platform.
 CLAIM_SECONDS = 3
--- /dev/null
+++ b/pimentoway/ops/follow.py
@@ -0,0 +1,91 @@
+"""Follows the registry: one task for each kind, by listing and watching."""
+
+import random
+
+import gevent
+
+from pimentoway.core import clock, error, log, registry
+from pimentoway.ops import view
+
+#: Seconds for which a watch waits for a change.
+WATCH_SECONDS = 20
+
+#: Seconds between attempts while the store can't be reached; jittered, so
+#: that the nodes don't come back in step.
+RETRY_SECONDS = 0.4
+
+#: The longest pause between attempts, in seconds: back well within the time
+#: in which a change has to be in force.
+LONGEST_RETRY_SECONDS = 0.8
+
+_LOG = log.Log('follow')
+
+
+class Follower:
+    """Keeps a view in step with the registry.
+
+    Attributes:
+        connected_by_kind: Whether the last call for each kind succeeded.
+    """
+
+    def __init__(self, source: registry.Registry, known: view.View) -> None:
+        """Follow a registry.
+
+        Args:
+            source: The registry.
+            known: The view.
+        """
+        self.connected_by_kind = dict.fromkeys(registry.Kind, False)
+        self._source = source
+        self._view = known
+
+    def run(self, kind: registry.Kind) -> None:
+        """Follow a kind for ever.
+
+        Args:
+            kind: The kind.
+        """
+        pause = RETRY_SECONDS
+        listed = False
+        while True:
+            try:
+                listed = self._step(kind, listed)
+            except error.WatchExpiredError as fault:
+                _LOG.write('lists anew.', kind=kind.value, reason=str(fault))
+                listed = False
+            except error.PlatformError as fault:
+                self._note_loss(kind, fault)
+                gevent.sleep(random.uniform(pause / 2, pause))
+                pause = min(LONGEST_RETRY_SECONDS, pause * 2)
+                continue
+            pause = RETRY_SECONDS
+            self._note_contact(kind)
+
+    def _step(self, kind: registry.Kind, listed: bool) -> bool:
+        if not listed:
+            listing = self._source.list_records(kind)
+            snapshot = view.Snapshot(
+                kind, listing.revision, listing.records_by_name
+            )
+            self._view.take_snapshot(snapshot, 'store list')
+            return True
+        revision = self._view.revision_by_kind[kind]
+        changes = self._source.watch_records(kind, revision, WATCH_SECONDS)
+        self._view.take_changes(kind, changes, 'store watch')
+        return True
+
+    def _note_loss(self, kind: registry.Kind, fault: Exception) -> None:
+        self._view.note_trouble()
+        if self.connected_by_kind[kind]:
+            self.connected_by_kind[kind] = False
+            _LOG.write('lost the store.', kind=kind.value, reason=str(fault))
+
+    def _note_contact(self, kind: registry.Kind) -> None:
+        if not self.connected_by_kind[kind]:
+            self.connected_by_kind[kind] = True
+            _LOG.write(
+                'reached the store.',
+                kind=kind.value,
+                revision=self._view.revision_by_kind[kind],
+                time=round(clock.read_monotonic(), 3),
+            )
--- a/pimentoway/ops/shard.py
+++ b/pimentoway/ops/shard.py
@@ -12,7 +12,7 @@
 
 from pimentoway.core import clock, codec, error, log
 from pimentoway.ops import claim
-from pimentoway.platform import store
+from pimentoway.objects import store
 
 #: The size from which a segment is sealed, in bytes.
 SEGMENT_BYTES = 64_000
--- a/pimentoway/ops/shard_test.py
+++ b/pimentoway/ops/shard_test.py
@@ -10,7 +10,7 @@
 
 from pimentoway.core import error
 from pimentoway.ops import claim, shard
-from pimentoway.platform import store as platform_store
+from pimentoway.objects import store as platform_store
 from pimentoway.standin import paused_loop, store
 
 
--- /dev/null
+++ b/pimentoway/ops/view.py
@@ -0,0 +1,245 @@
+"""What a node knows of the registry, from the store or from other nodes."""
+
+import collections
+import dataclasses
+import types
+
+from pimentoway.core import clock, deployment, log, registry
+
+#: Seconds for which a back end whose entry vanished while the store was in
+#: trouble is kept: a living one writes its entry again within two seconds of
+#: the store's return.
+LAPSE_SECONDS = 2.0
+
+#: Seconds after a failed call to the store in which entries may vanish
+#: although their back ends live.
+TROUBLE_SECONDS = 3.0
+
+_LOG = log.Log('view')
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """All records of a kind as a node knows them.
+
+    Attributes:
+        kind: The kind.
+        revision: The revision of the store that it follows.
+        records_by_name: The records.
+    """
+
+    kind: registry.Kind
+    revision: int
+    records_by_name: dict[str, registry.Record]
+
+
+Follower = collections.abc.Callable[[registry.Kind], None]
+
+
+class View:
+    """The records that a node knows.
+
+    Attributes:
+        deployment: The configuration in force, or nothing yet.
+        revision_by_kind: The revision of the store that each kind follows.
+    """
+
+    def __init__(self) -> None:
+        """Start knowing nothing."""
+        self.deployment: deployment.Deployment | None = None
+        self.revision_by_kind = dict.fromkeys(registry.Kind, 0)
+        self._records_by_kind: dict[registry.Kind, dict] = {
+            kind: {} for kind in registry.Kind
+        }
+        self._lapsed_by_name: dict[str, float] = {}
+        self._followers: list[Follower] = []
+        self._trouble = float('-inf')
+
+    @property
+    def engines_by_name(self) -> types.MappingProxyType:
+        """List the back ends.
+
+        Returns:
+            The entries of the back ends.
+        """
+        return types.MappingProxyType(
+            self._records_by_kind[registry.Kind.engines],
+        )
+
+    @property
+    def rollouts_by_service(self) -> types.MappingProxyType:
+        """List the rollouts.
+
+        Returns:
+            The orders.
+        """
+        return types.MappingProxyType(
+            self._records_by_kind[registry.Kind.rollouts],
+        )
+
+    @property
+    def peers_by_name(self) -> types.MappingProxyType:
+        """List the nodes that registered themselves.
+
+        Returns:
+            The entries of the nodes.
+        """
+        return types.MappingProxyType(
+            self._records_by_kind[registry.Kind.peers],
+        )
+
+    @property
+    def evacuated_zones(self) -> collections.abc.Container[str]:
+        """List the failure domains that get nothing.
+
+        Returns:
+            Their names.
+        """
+        return self._records_by_kind[registry.Kind.evacuations].keys()
+
+    def is_usable(self, engine: deployment.Engine) -> bool:
+        """Tell whether a back end may get requests, as far as is known here.
+
+        Args:
+            engine: The back end.
+
+        Returns:
+            Whether it neither leaves nor is in an evacuated failure domain.
+        """
+        return not engine.draining and engine.zone not in self.evacuated_zones
+
+    def follow(self, follower: Follower) -> None:
+        """Call a function after each change.
+
+        Args:
+            follower: The function.
+        """
+        self._followers.append(follower)
+
+    def note_trouble(self) -> None:
+        """Note that the store could not be reached."""
+        self._trouble = clock.read_monotonic()
+
+    def take_snapshot(self, snapshot: Snapshot, source: str) -> bool:
+        """Take in all records of a kind.
+
+        Args:
+            snapshot: The records.
+            source: Who sent them.
+
+        Returns:
+            Whether they were newer than what was known.
+        """
+        kind = snapshot.kind
+        if snapshot.revision <= self.revision_by_kind[kind]:
+            return False
+        known = self._records_by_kind[kind]
+        gone = [name for name in known if name not in snapshot.records_by_name]
+        changes = [registry.Change(name, None) for name in gone]
+        changes.extend(
+            registry.Change(name, record)
+            for name, record in snapshot.records_by_name.items()
+            if known.get(name) != record
+        )
+        self.take_changes(
+            kind,
+            registry.Changes(snapshot.revision, tuple(changes)),
+            source,
+        )
+        return True
+
+    def make_snapshot(self, kind: registry.Kind) -> Snapshot:
+        """Make a copy of all records of a kind.
+
+        Args:
+            kind: The kind.
+
+        Returns:
+            The records.
+        """
+        records = dict(self._records_by_kind[kind])
+        return Snapshot(kind, self.revision_by_kind[kind], records)
+
+    def take_changes(
+        self, kind: registry.Kind, changes: registry.Changes, source: str
+    ) -> None:
+        """Take in changes of a kind.
+
+        Args:
+            kind: The kind.
+            changes: The changes.
+            source: Who told them.
+        """
+        if changes.revision < self.revision_by_kind[kind]:
+            return
+        self.revision_by_kind[kind] = changes.revision
+        for change in changes.changes:
+            self._apply(kind, change, source)
+        if changes.changes:
+            self._tell(kind)
+
+    def expire(self) -> None:
+        """Forget back ends whose entries did not come back in time."""
+        now = clock.read_monotonic()
+        over = [
+            name for name, end in self._lapsed_by_name.items() if end <= now
+        ]
+        for name in over:
+            self._lapsed_by_name.pop(name)
+            self._records_by_kind[registry.Kind.engines].pop(name, None)
+            _LOG.write('back end is gone.', engine=name, after='lapse')
+        if over:
+            self._tell(registry.Kind.engines)
+
+    def _apply(
+        self, kind: registry.Kind, change: registry.Change, source: str
+    ) -> None:
+        records = self._records_by_kind[kind]
+        record = change.record
+        if isinstance(record, deployment.Deployment):
+            self._adopt(record, source)
+            return
+        if record is not None:
+            records[change.name] = record
+            self._lapsed_by_name.pop(change.name, None)
+        elif kind is registry.Kind.engines and self._is_doubtful(change.name):
+            end = clock.read_monotonic() + LAPSE_SECONDS
+            self._lapsed_by_name.setdefault(change.name, end)
+        else:
+            records.pop(change.name, None)
+        if kind is not registry.Kind.peers:
+            _LOG.write(
+                'record changed.',
+                kind=kind.value,
+                name=change.name,
+                record=None if record is None else str(record),
+                revision=self.revision_by_kind[kind],
+                source=source,
+            )
+
+    def _is_doubtful(self, name: str) -> bool:
+        known = self._records_by_kind[registry.Kind.engines].get(name)
+        if known is None or known.draining:
+            return False
+        return clock.read_monotonic() - self._trouble < TROUBLE_SECONDS
+
+    def _adopt(self, newer: deployment.Deployment, source: str) -> None:
+        held = self.deployment
+        # A late reader may bring an old version; the node never goes back.
+        if held is not None and newer.version <= held.version:
+            return
+        self.deployment = newer
+        records = self._records_by_kind[registry.Kind.configuration]
+        records[''] = newer
+        _LOG.write(
+            'configuration is in force.',
+            version=newer.version,
+            before=held.version if held else 0,
+            routes=len(newer.routes),
+            customers=len(newer.customers_by_name),
+            source=source,
+        )
+
+    def _tell(self, kind: registry.Kind) -> None:
+        for follower in self._followers:
+            follower(kind)
--- a/pimentoway/platform/__init__.py
+++ b/pimentoway/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform, a peer: its object service and its list of machines."""
+"""The users' platform, translated: settings, store and headers."""
--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -1,149 +1,275 @@
-"""The platform's object service, as the rest of the system sees it."""
+"""The registry on the platform's store."""
 
-import abc
-import dataclasses
+import contextlib
+from urllib import parse
 
-#: The kind of the object that names the configuration in force.
-CONFIGURATION_KIND = 'configuration'
+import msgspec
 
-#: The kind of whole configurations.
-SNAPSHOT_KIND = 'snapshot'
+from pimentoway.core import (
+    connection,
+    deployment,
+    error,
+    log,
+    metric,
+    registry,
+)
+from pimentoway.platform import record
 
-#: The kind of segments of the claim log.
-CLAIM_KIND = 'claim'
+#: Seconds to connect to the store.
+CONNECT_SECONDS = 0.5
 
+#: Seconds to wait for an answer of the store; its usual time is 4 ms, and
+#: a slow store takes up to a hundred times as long.
+ANSWER_SECONDS = 1.5
 
-@dataclasses.dataclass(frozen=True)
-class Object:
-    """A stored object.
+#: The pages of one listing at the most; a page holds about 500 objects.
+PAGES = 40
 
-    Attributes:
-        kind: The kind.
-        name: The name, unique within the kind.
-        version: The version, which rises with each write; 0 if absent.
-        body: The stored text.
-        deleted: Whether the event that carries it is a removal.
-    """
+#: Milliseconds in a second.
+MILLISECONDS = 1000
 
-    kind: str
-    name: str
-    version: int
-    body: str
-    deleted: bool = False
+_PREFIX = '/pimentoway/objects'
 
+#: The names of the store for the kinds; the last is the system's own.
+PATHS_BY_KIND = {
+    registry.Kind.configuration: 'config',
+    registry.Kind.engines: 'servers',
+    registry.Kind.rollouts: 'rollouts',
+    registry.Kind.evacuations: 'evacuations',
+    registry.Kind.peers: 'pimentoway-nodes',
+}
 
-@dataclasses.dataclass(frozen=True)
-class Events:
-    """The events that a watch brought.
+_OK = 200
+_CREATED = 201
+_MISSING = 404
+_CONFLICT = 409
+_GONE = 410
+_TOO_MANY = 429
+_UNAVAILABLE = 503
 
-    Attributes:
-        revision: The revision to continue from.
-        changed: The objects that changed, in order.
-    """
+_LOG = log.Log('store')
 
-    revision: int
-    changed: tuple[Object, ...]
 
+class _Page(msgspec.Struct, rename='pascal'):
+    items: list[msgspec.Raw] = []
+    has_more: bool = False
+    store_revision: int = 0
 
-@dataclasses.dataclass(frozen=True)
-class Machine:
-    """A VM of the system, from the platform's list, which lags.
 
-    Attributes:
-        name: The name of the VM.
-        zone: Its failure domain.
-        address: The address at which its node takes gossip.
-        leaving: Whether it will be removed.
-    """
+class _Event(msgspec.Struct, rename='pascal'):
+    removed: bool = False
+    object: msgspec.Raw = msgspec.Raw(b'null')
 
-    name: str
-    zone: str
-    address: str
-    leaving: bool = False
 
+class _Watched(msgspec.Struct, rename='pascal'):
+    store_revision: int = 0
+    # The only key of the store that is not in Pascal case.
+    events: list[_Event] = msgspec.field(default_factory=list, name='events')
 
-class Store(abc.ABC):
-    """The object service.
 
-    All methods raise ``PlatformUnavailableError`` if the call did not reach
-    the service, and ``PlatformAmbiguousError`` if its answer was lost.
-    """
+class PlatformRegistry(registry.Registry):
+    """The registry on the platform's store, over HTTP."""
 
-    @abc.abstractmethod
-    def read(self, kind: str, name: str) -> Object:
-        """Read an object.
+    def __init__(self, address: str) -> None:
+        """Name the store.
 
         Args:
-            kind: The kind.
-            name: The name.
-
-        Returns:
-            The object, with version 0 if there is none.
+            address: Its IP number and port.
         """
+        self._address = address
+        self._pool = connection.Pool()
 
-    @abc.abstractmethod
-    def write(self, kind: str, name: str, body: str, version: int) -> Object:
-        """Write an object if its version is still the given one.
+    def list_records(self, kind: registry.Kind) -> registry.Listing:
+        """List all records of a kind, see ``Registry.list_records``.
 
         Args:
             kind: The kind.
-            name: The name.
-            body: The new text.
-            version: The version that is replaced; 0 to create the object.
 
         Returns:
-            The object as written.
+            The records.
 
         Raises:
-            PlatformConflictError: If the object has another version.
-            PlatformRefusedError: If the service refused the call as invalid.
+            PlatformError: If the listing has too many pages.
         """
-
-    @abc.abstractmethod
-    def remove(self, kind: str, name: str, version: int) -> None:
-        """Remove an object if its version is still the given one.
+        records_by_name: dict[str, registry.Record] = {}
+        after = ''
+        revision = 0
+        for _ in range(PAGES):
+            query = f'?{parse.urlencode({"AfterRev": after})}' if after else ''
+            page = self._read_page(kind, query)
+            # Changes after the first page are seen again by the watch.
+            revision = revision or page.store_revision
+            for raw in page.items:
+                change = _decode_object(kind, raw)
+                after = change.name
+                if change.record is not None:
+                    records_by_name[change.name] = change.record
+            if not page.has_more or not after:
+                return registry.Listing(revision, records_by_name)
+        raise error.PlatformError('too many pages', 'list', self._address)
+
+    def watch_records(
+        self, kind: registry.Kind, revision: int, seconds: float
+    ) -> registry.Changes:
+        """Wait for changes, see ``Registry.watch_records``.
 
         Args:
             kind: The kind.
-            name: The name.
-            version: The version that is removed.
+            revision: The revision.
+            seconds: The longest wait.
 
-        Raises:
-            PlatformConflictError: If the object has another version.
+        Returns:
+            The changes, none if nothing changed.
         """
-
-    @abc.abstractmethod
-    def list_objects(self, kind: str, prefix: str = '') -> Events:
-        """List the objects of a kind.
+        wait = int(seconds * MILLISECONDS)
+        path = f'{_make_path(kind)}?Watch={revision}&WaitMs={wait}'
+        answer = self._call('GET', path, patience=seconds)
+        watched = _decode(answer.body, _Watched)
+        changes = []
+        for event in watched.events:
+            change = _decode_object(kind, event.object)
+            if event.removed:
+                change = registry.Change(change.name, None)
+            if change.name:
+                changes.append(change)
+        return registry.Changes(
+            max(revision, watched.store_revision), tuple(changes)
+        )
+
+    def put_peer(self, peer: deployment.Peer) -> None:
+        """Register a node, see ``Registry.put_peer``.
 
         Args:
-            kind: The kind.
-            prefix: What their names start with.
-
-        Returns:
-            The objects and the revision from which to watch.
+            peer: The entry.
         """
-
-    @abc.abstractmethod
-    def watch(self, kind: str, revision: int, seconds: float) -> Events:
-        """Wait for events after a revision.
+        kind = registry.Kind.peers
+        body = {
+            'Metadata': {'Name': peer.name},
+            'Spec': record.encode_peer(peer),
+        }
+        try:
+            self._call('POST', _make_path(kind), body)
+        except error.PlatformConflictError:
+            # An entry of the node's earlier run is replaced.
+            self._call('PUT', _make_path(kind, peer.name), body)
+
+    def remove_peer(self, name: str) -> None:
+        """Remove the entry of a node, see ``Registry.remove_peer``.
 
         Args:
-            kind: The kind.
-            revision: The revision after which events are wanted.
-            seconds: The longest wait.
+            name: The name of the node.
+        """
+        self._call('DELETE', _make_path(registry.Kind.peers, name))
 
-        Returns:
-            The events, none if nothing changed.
+    def report_rollout(self, rollout: deployment.Rollout, state: str) -> None:
+        """Report on a rollout, see ``Registry.report_rollout``.
 
-        Raises:
-            WatchExpiredError: If the events are no longer kept.
+        Args:
+            rollout: The order.
+            state: What became of it.
         """
+        path = _make_path(registry.Kind.rollouts, rollout.service)
+        body = {
+            'Metadata': {
+                'Name': rollout.service,
+                'Revision': rollout.revision,
+            },
+            'Status': record.encode_rollout(rollout, state),
+        }
+        self._call('PUT', f'{path}/status', body)
+
+    def _read_page(self, kind: registry.Kind, query: str) -> _Page:
+        answer = self._call('GET', f'{_make_path(kind)}{query}')
+        return _decode(answer.body, _Page)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        patience: float = 0,
+    ) -> connection.Answer:
+        metric.PLATFORM_CALLS.labels(method).inc()
+        call = connection.Call(
+            address=self._address,
+            method=method,
+            path=path,
+            body=b'' if body is None else msgspec.json.encode(body),
+            headers=(('Content-Type', 'application/json'),),
+            connect_seconds=CONNECT_SECONDS,
+            first_byte_seconds=ANSWER_SECONDS + patience,
+            gap_seconds=ANSWER_SECONDS,
+        )
+        try:
+            answer = self._pool.fetch(call)
+        except error.ConnectError as fault:
+            raise error.PlatformUnavailableError(
+                fault.reason, method, path
+            ) from fault
+        except error.PeerError as fault:
+            raise error.PlatformAmbiguousError(
+                fault.reason, method, path
+            ) from fault
+        _check_status(answer, method, path)
+        return answer
+
+
+def _make_path(kind: registry.Kind, name: str = '') -> str:
+    path = f'{_PREFIX}/{PATHS_BY_KIND[kind]}'
+    return f'{path}/{parse.quote(name, safe="")}' if name else path
+
+
+def _check_status(answer: connection.Answer, step: str, peer: str) -> None:
+    status = answer.status
+    if status in {_OK, _CREATED}:
+        return
+    text = f'status {status}'
+    if status == _CONFLICT:
+        raise error.PlatformConflictError(text, step, peer)
+    if status == _GONE:
+        raise error.WatchExpiredError(text, step, peer)
+    if status in {_TOO_MANY, _UNAVAILABLE}:
+        raise error.PlatformUnavailableError(text, step, peer)
+    if status == _MISSING:
+        raise error.PlatformRefusedError(text, step, peer)
+    raise error.PlatformAmbiguousError(text, step, peer)
+
+
+def _decode(body: bytes, kind: type) -> object:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+        raise error.PlatformAmbiguousError(
+            f'the answer can not be read: {fault}', 'decode'
+        ) from fault
+
+
+def _decode_object(kind: registry.Kind, raw: bytes) -> registry.Change:
+    # One object that can't be decoded must not hide the others.
+    name = ''
+    try:
+        item = msgspec.json.decode(raw, type=record.Item)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+        with contextlib.suppress(msgspec.MsgspecError, UnicodeDecodeError):
+            name = msgspec.json.decode(raw, type=_Named).metadata.name
+        _LOG.write('skipped an object.', kind=kind.value, reason=str(fault))
+        return registry.Change(name, None)
+    name = item.metadata.name
+    try:
+        return registry.Change(name, record.decode(kind, item))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+        _LOG.write(
+            'skipped an object.',
+            kind=kind.value,
+            name=name,
+            reason=str(fault),
+        )
+        return registry.Change(name, None)
+
+
+class _NamedMetadata(msgspec.Struct, rename='pascal'):
+    name: str
 
-    @abc.abstractmethod
-    def list_machines(self) -> tuple[Machine, ...]:
-        """List the VMs of the system.
 
-        Returns:
-            The VMs, late by some seconds.
-        """
+class _Named(msgspec.Struct, rename='pascal'):
+    metadata: _NamedMetadata
--- a/pimentoway/standin/peer.py
+++ b/pimentoway/standin/peer.py
@@ -3,7 +3,7 @@
 from pimentoway.core import error
 from pimentoway.nodes import message, relay
 from pimentoway.ops import claim, permit
-from pimentoway.platform import store
+from pimentoway.objects import store
 from pimentoway.standin import network
 
 
--- a/pimentoway/standin/platform.py
+++ b/pimentoway/standin/platform.py
@@ -5,7 +5,7 @@
 import falcon
 
 from pimentoway.core import codec, error
-from pimentoway.platform import store
+from pimentoway.objects import store
 from pimentoway.standin import store as standin_store
 
 _STATUS_BY_ERROR = types.MappingProxyType(
--- a/pimentoway/standin/store.py
+++ b/pimentoway/standin/store.py
@@ -11,7 +11,7 @@
 from gevent import event as gevent_event
 
 from pimentoway.core import clock, error
-from pimentoway.platform import store
+from pimentoway.objects import store
 
 #: The largest value, in bytes.
 VALUE_BYTES = 1_000_000
--- a/pimentoway/standin/world.py
+++ b/pimentoway/standin/world.py
@@ -13,7 +13,7 @@
 from pimentoway.callers import app as callers_app
 from pimentoway.core import clock, codec, configuration, error, index, request
 from pimentoway.parser import setting
-from pimentoway.platform import head
+from pimentoway.objects import head
 from pimentoway.standin import model, network, paused_loop, peer, shape, store
 from pimentoway.tools import node as tools_node
 
--- a/pimentoway/tools/command.py
+++ b/pimentoway/tools/command.py
@@ -26,7 +26,7 @@
 )
 from pimentoway.ops import rollout
 from pimentoway.parser import declaration, ini, setting
-from pimentoway.platform import client, head
+from pimentoway.objects import client, head
 from pimentoway.tools import controller, entry
 
 #: The version of the program.
--- a/pimentoway/tools/controller.py
+++ b/pimentoway/tools/controller.py
@@ -14,7 +14,7 @@
 
 from pimentoway.core import clock, codec, configuration, error, log
 from pimentoway.ops import judge, keeper, rollout
-from pimentoway.platform import head, lease, store
+from pimentoway.objects import head, lease, store
 
 #: The kind of the records of rollouts.
 ROLLOUT_KIND = 'rollout'
--- a/pimentoway/tools/entry.py
+++ b/pimentoway/tools/entry.py
@@ -12,7 +12,7 @@
 from pimentoway.nodes import call, transport
 from pimentoway.operators import app as operators_app
 from pimentoway.parser import setting
-from pimentoway.platform import client
+from pimentoway.objects import client
 from pimentoway.tools import node
 
 #: The connections of operators at the most.
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -327,19 +327,19 @@
     ),
     Guard(
         'lost answer of a change is read back',
-        'platform/head.py',
+        'objects/head.py',
         '    if known:\n        return known\n    if fence',
         '    if fence',
-        'pimentoway/platform/head_test.py',
+        'pimentoway/objects/head_test.py',
     ),
     Guard(
         'one conditional update decides a change',
-        'platform/head.py',
+        'objects/head.py',
         '            stored.version,\n        )\n    except',
         '            object_store.read(\n'
         '                store.CONFIGURATION_KIND, HEAD_NAME).version,\n'
         '        )\n    except',
-        'pimentoway/platform/head_test.py',
+        'pimentoway/objects/head_test.py',
     ),
     Guard(
         'bad version gets no share',
@@ -379,7 +379,7 @@
     ),
     Guard(
         'paused controller is fenced off',
-        'platform/head.py',
+        'objects/head.py',
         'if fence and fence < stored.head.fence:',
         'if fence < 0:',
         f'{_ROLLOUT} -k fenced',
--- a/pimentoway/tools/launch.py
+++ b/pimentoway/tools/launch.py
@@ -4,10 +4,15 @@
 """
 
 import importlib
+import sys
 
 import gevent
 from gevent import monkey
 
+#: The verb that runs a node on the users' platform. It is told apart here,
+#: since the whole command line takes memory that small VMs do not have.
+EDGE_VERB = 'edge'
+
 
 def main() -> int:
     """Run the command line of the system.
@@ -16,6 +21,8 @@
         The exit status.
     """
     monkey.patch_all()
+    if sys.argv[1:] == [EDGE_VERB]:
+        return importlib.import_module('pimentoway.tools.edge_entry').run()
     return importlib.import_module('pimentoway.tools.command').run()
 
 
--- a/pimentoway/tools/node.py
+++ b/pimentoway/tools/node.py
@@ -35,7 +35,7 @@
     scheduler,
 )
 from pimentoway.parser import setting
-from pimentoway.platform import feed, store
+from pimentoway.objects import feed, store
 from pimentoway.tools import controller
 
 #: The nodes of a failure domain that hold a watch.
--- a/pimentoway/tools/rollout_proof_test.py
+++ b/pimentoway/tools/rollout_proof_test.py
@@ -6,7 +6,7 @@
 
 from pimentoway.core import clock, codec, configuration, error
 from pimentoway.ops import rollout
-from pimentoway.platform import head, lease
+from pimentoway.objects import head, lease
 from pimentoway.standin import model, shape, store, world
 from pimentoway.tools import controller
 
--- a/pimentoway/tools/slope.py
+++ b/pimentoway/tools/slope.py
@@ -23,7 +23,7 @@
 from matplotlib import pyplot
 
 from pimentoway.core import codec, configuration
-from pimentoway.platform import client, head
+from pimentoway.objects import client, head
 from pimentoway.tools import local
 
 #: Seconds for which an idle deployment is measured.
