--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -41,6 +41,9 @@
 #: The tokens of a stream's answer if the caller gives no estimate.
 DEFAULT_OUTPUT_TOKENS = 50
 
+#: The tiers of routes within one tier of customers.
+ROUTE_RANKS = 4
+
 #: The attempts at a request that did not run anywhere.
 PLACEMENTS = 6
 
@@ -593,7 +596,8 @@
 ) -> int:
     if customer is None or customer.rank is None:
         return route.rank
-    return customer.rank
+    # The customer's tier goes first, and the route's decides within it.
+    return customer.rank * ROUTE_RANKS + min(route.rank, ROUTE_RANKS - 1)
 
 
 def _measure_cost(job: Job) -> float:
--- a/pimentoway/core/place.py
+++ b/pimentoway/core/place.py
@@ -16,6 +16,7 @@
         retry_window: The window of the retry budget, in seconds.
         quota_window: The window of the quotas, in seconds.
         quota_overshoot: The part by which a quota may be exceeded.
+        quota_slack: The units by which it may be exceeded in addition.
         exposure_share: The part of requests that a bad version may get.
         exposure_slack: The requests that it may get in addition.
         rollback: Seconds in which a bad version must be taken back.
@@ -30,6 +31,7 @@
     retry_window: float = 10
     quota_window: float = 8
     quota_overshoot: float = 0.1
+    quota_slack: float = 0
     exposure_share: float = 0.1
     exposure_slack: float = 50
     rollback: float = 5
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -89,7 +89,7 @@
             line.Line,
         )
         self._traffic_by_service: dict[str, _Traffic] = {}
-        self._quotas = quota.QuotaBook(bounds.quota_window)
+        self._quotas = quota.QuotaBook(bounds)
         self._crashes = crash.CrashLedger()
         self._vanished_by_owner: dict[str, float] = {}
         known.follow(self._follow)
@@ -279,7 +279,9 @@
         customer = self._find_customer(entry.customer)
         if customer is None:
             return 0
-        return self._quotas.spend(customer, entry.cost, self.share)
+        waiting = self._line_by_service[entry.service].waiting_by_key
+        idle = not waiting and bool(self._list_free(entry.service))
+        return self._quotas.spend(customer, entry.cost, self.share, idle)
 
     def _estimate_wait(self, entry: ask.Ask) -> float | None:
         stations = [
--- a/pimentoway/ops/quota.py
+++ b/pimentoway/ops/quota.py
@@ -1,36 +1,60 @@
-"""The customers' quotas: token buckets, shared between brokers by parts."""
+"""The customers' quotas: token buckets, shared between brokers by parts.
+
+A request beyond the bucket may still run on slots that nobody else wants, as
+long as the customer stays within the overshoot that the deployment allows in
+a sliding window.
+"""
 
 import dataclasses
 
-from pimentoway.core import clock, deployment
+from pimentoway.core import clock, deployment, place
+from pimentoway.ops import window
 
 #: The part of the burst by which a bucket may be overdrawn: a request that
 #: is counted a moment early must not be refused.
 OVERDRAFT_PART = 0.03
 
+#: The part of the allowed overshoot that is used; the rest covers what nodes
+#: grant that can't reach each other.
+OVERSHOOT_PART = 0.8
+
 
 @dataclasses.dataclass
-class _Bucket:
+class _Account:
+    """What a customer has left.
+
+    Attributes:
+        left: What is left in the bucket.
+        time: When it was filled last.
+        earned_elsewhere: What may have been used elsewhere and has been
+            earned again by now.
+        used: What was used in the window of the quotas.
+    """
+
     left: float
     time: float
-    # What may have been used elsewhere and has been earned again by now.
     earned_elsewhere: float
+    used: window.Window
 
 
 class QuotaBook:
-    """The buckets of all customers."""
+    """The accounts of all customers."""
 
-    def __init__(self, window_seconds: float) -> None:
+    def __init__(self, bounds: place.Bounds) -> None:
         """Start with full buckets.
 
         Args:
-            window_seconds: The window of the quotas.
+            bounds: The promises of the deployment.
         """
-        self._window_seconds = window_seconds
-        self._bucket_by_customer: dict[str, _Bucket] = {}
+        self._bounds = bounds
+        self._account_by_customer: dict[str, _Account] = {}
 
     def spend(
-        self, customer: deployment.Customer, cost: float, share: float
+        self,
+        customer: deployment.Customer,
+        cost: float,
+        share: float,
+        idle: bool,
     ) -> float:
         """Take a request's cost from the quota of its customer.
 
@@ -38,20 +62,23 @@
             customer: The customer.
             cost: The cost.
             share: The part of the quota that is given out here.
+            idle: Whether slots are free that nobody else wants.
 
         Returns:
             0 if the cost was taken, else the seconds until it can be.
         """
         if not customer.rate:
             return 0
-        bucket = self._refill(customer, share)
-        floor = -OVERDRAFT_PART * customer.burst * share
-        # A request larger than the whole bucket needs a full one.
-        needed = min(cost, customer.burst * share)
-        if bucket.left - needed < floor:
-            missing = needed + floor - bucket.left
-            return missing / (customer.rate * share)
-        bucket.left -= cost
+        account = self._refill(customer, share)
+        limit = self._measure_limit(customer) * share
+        fits = account.used.measure() + cost <= limit
+        missing = self._measure_missing(customer, account, cost, share)
+        if not fits or (missing > 0 and not idle):
+            over = account.used.total + cost - limit
+            wait = max(0, missing) / (customer.rate * share)
+            return max(wait, account.used.measure_until(over))
+        account.left -= cost
+        account.used.add(cost)
         return 0
 
     def refund(self, name: str, cost: float) -> None:
@@ -61,9 +88,10 @@
             name: The name of the customer.
             cost: The cost.
         """
-        bucket = self._bucket_by_customer.get(name)
-        if bucket:
-            bucket.left += cost
+        account = self._account_by_customer.get(name)
+        if account:
+            account.left += cost
+            account.used.add(-cost)
 
     def charge(self, customer: deployment.Customer, cost: float) -> None:
         """Charge what was used elsewhere within the window, refusing nothing.
@@ -77,20 +105,47 @@
         """
         if not customer.rate:
             return
-        bucket = self._refill(customer, 1)
-        covered = min(cost, bucket.earned_elsewhere)
-        bucket.earned_elsewhere -= covered
-        bucket.left = max(0, bucket.left - (cost - covered))
+        account = self._refill(customer, 1)
+        covered = min(cost, account.earned_elsewhere)
+        account.earned_elsewhere -= covered
+        account.left = max(0, account.left - (cost - covered))
+        account.used.add(cost)
+
+    def _measure_limit(self, customer: deployment.Customer) -> float:
+        bounds = self._bounds
+        nominal = customer.rate * bounds.quota_window + customer.burst
+        slack = bounds.quota_slack if customer.by_tokens else 0
+        return (
+            nominal * (1 + bounds.quota_overshoot * OVERSHOOT_PART)
+            + slack * OVERSHOOT_PART
+        )
+
+    def _measure_missing(
+        self,
+        customer: deployment.Customer,
+        account: _Account,
+        cost: float,
+        share: float,
+    ) -> float:
+        floor = -OVERDRAFT_PART * customer.burst * share
+        # A request larger than the whole bucket needs a full one.
+        needed = min(cost, customer.burst * share)
+        return needed + floor - account.left
 
-    def _refill(self, customer: deployment.Customer, share: float) -> _Bucket:
+    def _refill(self, customer: deployment.Customer, share: float) -> _Account:
         now = clock.read_monotonic()
         full = customer.burst * share
-        bucket = self._bucket_by_customer.get(customer.name)
-        if bucket is None:
-            earned = customer.rate * self._window_seconds
-            bucket = _Bucket(full, now, earned)
-            self._bucket_by_customer[customer.name] = bucket
-        earned = (now - bucket.time) * customer.rate * share
-        bucket.left = min(full, bucket.left + earned)
-        bucket.time = now
-        return bucket
+        account = self._account_by_customer.get(customer.name)
+        if account is None:
+            seconds = self._bounds.quota_window
+            account = _Account(
+                customer.burst,
+                now,
+                customer.rate * seconds,
+                window.Window(seconds),
+            )
+            self._account_by_customer[customer.name] = account
+        earned = (now - account.time) * customer.rate * share
+        account.left = min(full, account.left + earned)
+        account.time = now
+        return account
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -236,7 +236,10 @@
             version=newer.version,
             before=held.version if held else 0,
             routes=len(newer.routes),
-            customers=len(newer.customers_by_name),
+            customers={
+                one.name: (one.rank, one.rate, one.burst)
+                for one in newer.customers_by_name.values()
+            },
             source=source,
         )
 
--- a/pimentoway/platform/setting.py
+++ b/pimentoway/platform/setting.py
@@ -49,6 +49,7 @@
     budget_window_s: float = 10
     quota_window_s: float = 8
     quota_overshoot: float = 0.1
+    quota_slack: float = 0
     exposure_share: float = 0.1
     exposure_slack: float = 50
     rollback_ms: float = 5000
@@ -159,6 +160,7 @@
         retry_window=raw.budget_window_s,
         quota_window=raw.quota_window_s,
         quota_overshoot=raw.quota_overshoot,
+        quota_slack=raw.quota_slack,
         exposure_share=raw.exposure_share,
         exposure_slack=raw.exposure_slack,
         rollback=raw.rollback_ms / MILLISECONDS,
