--- a/pimentoway/callers/connection.py
+++ b/pimentoway/callers/connection.py
@@ -195,7 +195,7 @@
             watcher.stop()
             return
         watcher.stop()
-        gevent.kill(task, CallerGoneError('it closed'), block=False)
+        gevent.kill(task, CallerGoneError('it closed'))
 
     def _note_end(self, fault: Exception) -> None:
         if not self.idle:
