--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -59,7 +59,7 @@
         self.address = address
         self._dialect = dialect
         self.reused = False
-        self.idle_since = 0.0
+        self.idle_since: float = 0
         self.idle_seconds = IDLE_SECONDS
         self._reader = message.AnswerReader()
         self._ended = False
@@ -75,22 +75,18 @@
         Raises:
             SilentError: If the back end does not read.
         """
-        view = memoryview(payload)
-        try:
-            sent = self._sock.send(view)
-        except OSError as fault:
-            raise self._describe(fault) from fault
-        while sent < len(view) and not connection.is_readable(self._sock):
+        rest = memoryview(payload)
+        rest = rest[self._send_some(rest) :]
+        while rest and not connection.is_readable(self._sock):
             left = deadline - clock.read_monotonic()
             if not connection.wait_for_room(self._sock, left):
                 raise SilentError(
-                    'the back end does not read', 'send', self.address
+                    'the back end does not read',
+                    'send',
+                    self.address,
                 )
-            try:
-                sent += self._sock.send(view[sent:])
-            except OSError as fault:
-                raise self._describe(fault) from fault
-        if sent < len(view):
+            rest = rest[self._send_some(rest) :]
+        if rest:
             # The rest of the body would be taken for another request.
             self._reader.broken = True
 
@@ -168,6 +164,12 @@
         """Close the connection, which makes the back end stop its work."""
         self._sock.close()
 
+    def _send_some(self, rest: memoryview) -> int:
+        try:
+            return self._sock.send(rest)
+        except OSError as fault:
+            raise self._describe(fault) from fault
+
     def _wait_for_head(self, deadline: float) -> message.Answer:
         answers = self._reader.answers
         while not answers or not answers[0].headed:
--- a/pimentoway/callers/answer_writer.py
+++ b/pimentoway/callers/answer_writer.py
@@ -1,6 +1,7 @@
-"""Writes answers to callers: those of back ends unchanged, and the node's own."""
+"""Writes answers: those of back ends unchanged, and the node's own."""
 
 import dataclasses
+import types
 
 from pimentoway.callers import connection
 from pimentoway.core import codec, error, message
@@ -10,15 +11,17 @@
 _CLOSE_HEAD = b'Connection: close\r\n'
 _LAST_CHUNK = b'0\r\n\r\n'
 
-_REASONS_BY_STATUS = {
-    400: 'Bad Request',
-    401: 'Unauthorized',
-    404: 'Not Found',
-    429: 'Too Many Requests',
-    502: 'Bad Gateway',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
+_REASONS_BY_STATUS = types.MappingProxyType(
+    {
+        400: 'Bad Request',
+        401: 'Unauthorized',
+        404: 'Not Found',
+        429: 'Too Many Requests',
+        502: 'Bad Gateway',
+        503: 'Service Unavailable',
+        504: 'Gateway Timeout',
+    },
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,11 +71,9 @@
         """
         head = self._make_head(whole.status, whole.reason, whole.headers)
         length = b'Content-Length: %d\r\n' % len(whole.body)
+        body = b'' if self._bodiless else whole.body
         self.begun = True
-        if self._bodiless:
-            self._caller.write(head + length + b'\r\n')
-            return
-        self._caller.write(head + length + b'\r\n' + whole.body)
+        self._caller.write(b'%s%s\r\n%s' % (head, length, body))
 
     def begin_stream(self, answer: message.Answer, first: bytes) -> None:
         """Write the head and the first events of a stream.
@@ -85,7 +86,7 @@
         head = self._make_head(answer.status, answer.reason, headers)
         self.begun = True
         chunk = _make_chunk(first)
-        self._caller.write(head + _CHUNKED_HEAD + b'\r\n' + chunk)
+        self._caller.write(b'%s%s\r\n%s' % (head, _CHUNKED_HEAD, chunk))
 
     def write_events(self, events: bytes) -> None:
         """Write further events.
@@ -101,7 +102,7 @@
         Args:
             rest: What is left of it.
         """
-        self._caller.write(_make_chunk(rest) + _LAST_CHUNK)
+        self._caller.write(b'%s%s' % (_make_chunk(rest), _LAST_CHUNK))
 
     def write_error(self, fault: error.PimentowayError) -> None:
         """Write an answer of the node's own.
@@ -120,11 +121,12 @@
         ]
         if fault.retry_after and isinstance(fault, error.NotRunError):
             lines.append(f'Retry-After: {fault.retry_after:.2f}')
-        head = '\r\n'.join(lines).encode() + b'\r\n'
         if not self.stays or self._caller.closing:
-            head += _CLOSE_HEAD
+            lines.append('Connection: close')
         self.begun = True
-        self._caller.write(head + b'\r\n' + (b'' if self._bodiless else body))
+        shown = b'' if self._bodiless else body
+        head = '\r\n'.join(lines).encode()
+        self._caller.write(b'%s\r\n\r\n%s' % (head, shown))
 
     def _make_head(
         self, status: int, reason: bytes, headers: tuple[message.Header, ...]
--- a/pimentoway/callers/connection.py
+++ b/pimentoway/callers/connection.py
@@ -28,6 +28,7 @@
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _READ_EVENT = 1
+_TIMEOUT = 408
 
 _LOG = log.Log('caller')
 
@@ -161,7 +162,7 @@
     def _feed_until(self, end: float) -> bool:
         left = end - clock.read_monotonic()
         if left <= 0:
-            raise message.MessageError('the request took too long', 408)
+            raise message.MessageError('the request took too long', _TIMEOUT)
         return self._feed(left)
 
     def _feed(self, seconds: float) -> bool:
--- a/pimentoway/core/deployment.py
+++ b/pimentoway/core/deployment.py
@@ -8,7 +8,7 @@
 import xxhash
 
 #: The range of the hash that picks a service by weight.
-HASH_RANGE = 1 << 32
+HASH_RANGE = 0x100000000
 
 
 class Kind(enum.Enum):
--- a/pimentoway/core/log.py
+++ b/pimentoway/core/log.py
@@ -57,5 +57,5 @@
     """
     encoder = msgspec.json.Encoder(enc_hook=str)
     eliot.add_destinations(
-        lambda line: place.write(encoder.encode(line) + b'\n'),
+        lambda line: place.write(b'%s\n' % encoder.encode(line)),
     )
--- a/pimentoway/core/message.py
+++ b/pimentoway/core/message.py
@@ -349,7 +349,5 @@
     named = [text for name, text in headers if name.lower() == b'connection']
     if not named:
         return CONNECTION_HEADERS
-    listed = {
-        one.strip().lower() for text in named for one in text.split(b',')
-    }
+    listed = {one.strip().lower() for text in named for one in text.split(b',')}
     return CONNECTION_HEADERS | listed
--- a/pimentoway/core/outlet.py
+++ b/pimentoway/core/outlet.py
@@ -91,9 +91,8 @@
         except BlockingIOError:
             return False
         for _ in range(taken):
-            line = self._lines.popleft()
-            if written < len(line):
-                self._lines.appendleft(line[written:])
-                return False
-            written -= len(line)
+            self._lines.popleft()
+        if written < len(block):
+            self._lines.appendleft(block[written:])
+            return False
         return True
--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -35,7 +35,10 @@
     """
     return sorted(
         peers,
-        key=lambda peer: (-peer.cores, xxhash.xxh32_intdigest(peer.name.encode())),
+        key=lambda peer: (
+            -peer.cores,
+            xxhash.xxh32_intdigest(peer.name.encode()),
+        ),
     )
 
 
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -5,6 +5,8 @@
 encoding is MessagePack by msgspec.
 """
 
+import types
+
 import msgspec
 
 from pimentoway.core import deployment, error, registry
@@ -15,19 +17,21 @@
 
 #: The bytes of a frame at the most; a configuration with thousands of routes
 #: takes about a megabyte.
-FRAME_BYTES = 16 * 1024 * 1024
+FRAME_BYTES = 0x1000000
 
 #: What the records of each kind are.
-TYPES_BY_KIND = {
-    registry.Kind.configuration: deployment.Deployment,
-    registry.Kind.engines: deployment.Engine,
-    registry.Kind.rollouts: deployment.Rollout,
-    registry.Kind.evacuations: str,
-    registry.Kind.peers: deployment.Peer,
-}
+TYPES_BY_KIND = types.MappingProxyType(
+    {
+        registry.Kind.configuration: deployment.Deployment,
+        registry.Kind.engines: deployment.Engine,
+        registry.Kind.rollouts: deployment.Rollout,
+        registry.Kind.evacuations: str,
+        registry.Kind.peers: deployment.Peer,
+    },
+)
 
 
-class Attach(msgspec.Struct, frozen=True, array_like=True, tag=10):
+class Attach(msgspec.Struct, frozen=True, array_like=True, tag=5):
     """Begins a connection: the node will ask here from now on.
 
     Attributes:
@@ -43,7 +47,7 @@
     usage: list[ask.Usage]
 
 
-class Beat(msgspec.Struct, frozen=True, array_like=True, tag=11):
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Tells that the sender lives, and what it knows.
 
     Attributes:
@@ -53,7 +57,7 @@
     revisions: list[int]
 
 
-class Want(msgspec.Struct, frozen=True, array_like=True, tag=12):
+class Want(msgspec.Struct, frozen=True, array_like=True, tag=7):
     """Asks for the records of a kind.
 
     Attributes:
@@ -63,7 +67,7 @@
     kind: str
 
 
-class Records(msgspec.Struct, frozen=True, array_like=True, tag=13):
+class Records(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """The records of a kind.
 
     Attributes:
@@ -170,7 +174,7 @@
             if len(self._rest) < end:
                 break
             messages.append(_decode(bytes(self._rest[LENGTH_BYTES:end])))
-            del self._rest[:end]
+            self._rest = self._rest[end:]
         return messages
 
 
--- a/pimentoway/nodes/link.py
+++ b/pimentoway/nodes/link.py
@@ -110,7 +110,7 @@
                     take(self, content)
 
     def _write(self) -> None:
-        next_beat = 0.0
+        next_beat: float = 0
         while self.open:
             now = clock.read_monotonic()
             if now >= next_beat:
--- a/pimentoway/objects/feed.py
+++ b/pimentoway/objects/feed.py
@@ -10,8 +10,8 @@
 import gevent
 
 from pimentoway.core import error, log
-from pimentoway.ops import keeper
 from pimentoway.objects import head, store
+from pimentoway.ops import keeper
 
 #: Seconds for which a watch waits.
 WATCH_SECONDS = 30
--- a/pimentoway/ops/admission.py
+++ b/pimentoway/ops/admission.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import itertools
+import types
 
 import msgspec
 from gevent import event as gevent_event
@@ -32,20 +33,22 @@
     code = 'no_retry_budget'
 
 
-_ERRORS_BY_REASON = {
-    ask.Reason.overloaded: (
-        error.NotRunError,
-        'the service is busy with more urgent requests',
-    ),
-    ask.Reason.over_quota: (QuotaExceededError, 'the quota is used up'),
-    ask.Reason.no_backend: (error.NoPeerError, 'no back end is open'),
-    ask.Reason.suspect: (
-        error.QuarantinedError,
-        'the request broke several back ends',
-    ),
-    ask.Reason.expired: (error.ExpiredError, 'too little time was left'),
-    ask.Reason.no_budget: (BudgetError, 'the retry budget is used up'),
-}
+_ERRORS_BY_REASON = types.MappingProxyType(
+    {
+        ask.Reason.overloaded: (
+            error.NotRunError,
+            'the service is busy with more urgent requests',
+        ),
+        ask.Reason.over_quota: (QuotaExceededError, 'the quota is used up'),
+        ask.Reason.no_backend: (error.NoPeerError, 'no back end is open'),
+        ask.Reason.suspect: (
+            error.QuarantinedError,
+            'the request broke several back ends',
+        ),
+        ask.Reason.expired: (error.ExpiredError, 'too little time was left'),
+        ask.Reason.no_budget: (BudgetError, 'the retry budget is used up'),
+    },
+)
 
 
 @dataclasses.dataclass(eq=False)
--- a/pimentoway/ops/advance.py
+++ b/pimentoway/ops/advance.py
@@ -111,6 +111,14 @@
         """
         return self.tally_by_subject.setdefault((new, route), _Tally())
 
+    def has_room(self) -> bool:
+        """Tell whether the new version has not got its share yet.
+
+        Returns:
+            Whether it may get one more request.
+        """
+        return self.new_starts + 1 <= self.share * (self.starts + 1)
+
     def count_good(self) -> int:
         """Count the good answers of the new version.
 
@@ -175,15 +183,11 @@
         if len(versions) < 2:
             # Only one version is there, so there is no choice.
             return not (new and held.condemned)
-        if held.order.state == State.reverted.value or held.condemned:
+        if held.condemned or held.order.state == State.reverted.value:
             return not new
-        if held.order.state == State.complete.value:
-            return new
-        if held.moved:
+        if held.moved or held.order.state == State.complete.value:
             return new
-        if not new:
-            return True
-        return held.new_starts + 1 <= held.share * (held.starts + 1)
+        return not new or held.has_room()
 
     def prefer(
         self, service: str, allowed: list[station.Station]
@@ -238,7 +242,9 @@
         elif report.outcome is ask.Outcome.answered:
             pace = report.total / (FIRST_EVENTS + report.events)
             slow = new and self._is_slow(held, here, entry, pace)
-            tally.pace += SMOOTHING * (pace - tally.pace) if tally.pace else pace
+            tally.pace += (
+                SMOOTHING * (pace - tally.pace) if tally.pace else pace
+            )
             self._count(held, entry.route, new, bad=slow)
 
     def decide(
@@ -264,7 +270,7 @@
         self._raise_share(held)
         if self._is_complete(held, old_running):
             return held, State.complete
-        return (held, State.active) if not state else None
+        return None if state else (held, State.active)
 
     def list_services(self) -> list[str]:
         """List the services that have a rollout.
@@ -284,14 +290,12 @@
 
     def _count(self, held: Advance, route: str, new: bool, bad: bool) -> None:
         tally = held.find_tally(new, route)
-        if bad:
-            tally.count.bad += 1
-        else:
-            tally.count.good += 1
+        news = verdict.Count(int(not bad), int(bad))
+        tally.count.good += news.good
+        tally.count.bad += news.bad
         if not new:
             return
         usual = held.find_tally(False, route).count.measure_rate()
-        news = verdict.Count(int(not bad), int(bad))
         tally.score = max(0, tally.score + verdict.weigh(usual, news))
         if tally.score >= verdict.compute_threshold() and not held.condemned:
             held.condemned = True
@@ -307,27 +311,30 @@
             )
 
     def _raise_share(self, held: Advance) -> None:
+        share = self._find_share(held)
+        if share <= held.share:
+            return
+        held.share = share
+        if share == 1:
+            held.moved = clock.read_monotonic()
+        _LOG.write(
+            'a share is raised.',
+            service=held.order.service,
+            version=held.order.version,
+            share=share,
+            good=held.count_good(),
+            starts=held.starts,
+            new_starts=held.new_starts,
+        )
+
+    def _find_share(self, held: Advance) -> float:
         part = (clock.read_monotonic() - held.started) / held.order.seconds
-        before = held.share
         good = held.count_good()
-        if not held.share:
-            held.share = self._bounds.exposure_share * TRIAL_PART
-        elif part >= MOVE_PART and good >= TRIAL_ANSWERS * 2:
-            held.share = 1
-        elif part >= RAMP_PART and good >= TRIAL_ANSWERS:
-            held.share = max(held.share, RAMP_SHARE)
-        if held.share == 1 and not held.moved:
-            held.moved = clock.read_monotonic()
-        if held.share != before:
-            _LOG.write(
-                'a share is raised.',
-                service=held.order.service,
-                version=held.order.version,
-                share=held.share,
-                good=good,
-                starts=held.starts,
-                new_starts=held.new_starts,
-            )
+        if part >= MOVE_PART and good >= TRIAL_ANSWERS * 2:
+            return 1
+        if part >= RAMP_PART and good >= TRIAL_ANSWERS:
+            return RAMP_SHARE
+        return self._bounds.exposure_share * TRIAL_PART
 
     def _is_complete(self, held: Advance, old_running: int) -> bool:
         if not held.moved:
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -6,19 +6,9 @@
 """
 
 import collections
-import dataclasses
-
-from pimentoway.core import clock, deployment, log, place, registry
-from pimentoway.ops import (
-    advance,
-    ask,
-    crash,
-    line,
-    quota,
-    station,
-    view,
-    window,
-)
+
+from pimentoway.core import clock, log, place, registry
+from pimentoway.ops import advance, ask, gate, line, station, view
 
 #: The cost, in seconds, of a back end in another failure domain: bytes
 #: between failure domains are dear, and the way is longer.
@@ -37,10 +27,6 @@
 #: stop soon after a connection is gone.
 VANISHED_SECONDS = 1.5
 
-#: The part of the retry budget that is given out; the rest covers repeats
-#: that other brokers allow while nodes change theirs.
-BUDGET_PART = 0.7
-
 #: The shortest and the longest time after which a caller is asked to return.
 RETRY_FLOOR_SECONDS = 0.15
 RETRY_CEILING_SECONDS = 3.0
@@ -53,14 +39,6 @@
 Reply = collections.abc.Callable[[str, ask.Grant | ask.Refusal], None]
 
 
-@dataclasses.dataclass
-class _Traffic:
-    """The arrivals at a service, for the retry budget."""
-
-    asks: window.Window
-    repeats: window.Window
-
-
 class Broker:
     """The broker of a node.
 
@@ -82,15 +60,12 @@
         self.share = 1.0
         self.station_by_engine: dict[str, station.Station] = {}
         self.advances = advance.AdvanceTable(bounds, known)
-        self._bounds = bounds
         self._view = known
         self._reply = reply
         self._line_by_service: dict[str, line.Line] = collections.defaultdict(
             line.Line,
         )
-        self._traffic_by_service: dict[str, _Traffic] = {}
-        self._quotas = quota.QuotaBook(bounds)
-        self._crashes = crash.CrashLedger()
+        self._gate = gate.Gate(bounds, known)
         self._vanished_by_owner: dict[str, float] = {}
         known.follow(self._follow)
         self._follow(registry.Kind.engines)
@@ -102,7 +77,7 @@
             owner: The node that asks.
             entry: The ask.
         """
-        reason, wait = self._check(entry)
+        reason, wait = self._gate.check(entry, self._find_outlook(entry))
         if reason is not None:
             self._refuse((owner, entry.number), entry, reason, wait)
             return
@@ -114,8 +89,6 @@
             goal=now + entry.goal_left,
             deadline=now + entry.time_left,
         )
-        traffic = self._find_traffic(entry.service)
-        (traffic.repeats if entry.repeats else traffic.asks).add()
         self._line_by_service[entry.service].add(ticket)
         self.pump(entry.service)
 
@@ -130,7 +103,7 @@
         for service, waiting in self._line_by_service.items():
             ticket = waiting.waiting_by_key.pop(key, None)
             if ticket:
-                self._quotas.refund(ticket.ask.customer, ticket.ask.cost)
+                self._gate.refund(ticket.ask)
                 self.pump(service)
                 return
         for here in self.station_by_engine.values():
@@ -161,9 +134,7 @@
             # What it used was given out here.
             return
         for usage in used:
-            customer = self._find_customer(usage.customer)
-            if customer:
-                self._quotas.charge(customer, usage.cost)
+            self._gate.charge(usage)
 
     def drop_owner(self, owner: str) -> None:
         """Forget the asks of a node that vanished.
@@ -175,7 +146,7 @@
             gone = [key for key in waiting.waiting_by_key if key[0] == owner]
             for key in gone:
                 ticket = waiting.waiting_by_key.pop(key)
-                self._quotas.refund(ticket.ask.customer, ticket.ask.cost)
+                self._gate.refund(ticket.ask)
         end = clock.read_monotonic() + VANISHED_SECONDS
         self._vanished_by_owner[owner] = end
 
@@ -183,7 +154,9 @@
         """Give up what is too late, and look at all lines again."""
         now = clock.read_monotonic()
         over = [
-            owner for owner, end in self._vanished_by_owner.items() if end <= now
+            owner
+            for owner, end in self._vanished_by_owner.items()
+            if end <= now
         ]
         for owner in over:
             self._vanished_by_owner.pop(owner)
@@ -249,39 +222,16 @@
             for waiting in self._line_by_service.values()
         )
 
-    def _check(self, entry: ask.Ask) -> tuple[ask.Reason | None, float]:
-        block = self._crashes.measure_block(entry.fingerprint)
-        if block:
-            return ask.Reason.suspect, block
-        if entry.repeats and not self._allows_repeat(entry.service):
-            return ask.Reason.no_budget, RETRY_FLOOR_SECONDS
-        wait = self._estimate_wait(entry)
-        if wait is None:
-            return ask.Reason.no_backend, RETRY_FLOOR_SECONDS * 2
-        run = self._line_by_service[entry.service].pattern_by_route[entry.route]
-        if wait and wait + run.first_seconds > entry.time_left:
-            return ask.Reason.overloaded, wait / 2
-        if not entry.repeats:
-            wait = self._spend_quota(entry)
-            if wait:
-                return ask.Reason.over_quota, wait
-        return None, 0
-
-    def _allows_repeat(self, service: str) -> bool:
-        traffic = self._find_traffic(service)
-        budget = (
-            self._bounds.retry_ratio * traffic.asks.measure()
-            + self._bounds.retry_slack * self.share
+    def _find_outlook(self, entry: ask.Ask) -> gate.Outlook:
+        waiting = self._line_by_service[entry.service]
+        pattern = waiting.pattern_by_route[entry.route]
+        idle = not waiting.waiting_by_key
+        return gate.Outlook(
+            wait=self._estimate_wait(entry),
+            first=pattern.first_seconds,
+            idle=idle and bool(self._list_free(entry.service)),
+            share=self.share,
         )
-        return traffic.repeats.measure() + 1 <= budget * BUDGET_PART
-
-    def _spend_quota(self, entry: ask.Ask) -> float:
-        customer = self._find_customer(entry.customer)
-        if customer is None:
-            return 0
-        waiting = self._line_by_service[entry.service].waiting_by_key
-        idle = not waiting and bool(self._list_free(entry.service))
-        return self._quotas.spend(customer, entry.cost, self.share, idle)
 
     def _estimate_wait(self, entry: ask.Ask) -> float | None:
         stations = [
@@ -298,19 +248,6 @@
         slots = sum(here.count_slots(self.share) for here in stations)
         return work / slots
 
-    def _find_customer(self, name: str) -> deployment.Customer | None:
-        if not name or self._view.deployment is None:
-            return None
-        return self._view.deployment.customers_by_name.get(name)
-
-    def _find_traffic(self, service: str) -> _Traffic:
-        traffic = self._traffic_by_service.get(service)
-        if traffic is None:
-            seconds = self._bounds.retry_window
-            traffic = _Traffic(window.Window(seconds), window.Window(seconds))
-            self._traffic_by_service[service] = traffic
-        return traffic
-
     def _list_free(self, service: str) -> list[station.Station]:
         return [
             here
@@ -358,16 +295,11 @@
         entry = run.ask
         waiting = self._line_by_service[entry.service]
         if report.outcome in ask.UNSENT_OUTCOMES:
-            self._quotas.refund(entry.customer, entry.cost)
+            self._gate.refund(entry)
         elif report.outcome is ask.Outcome.cut:
-            breaks = self._crashes.note_break(
-                entry.fingerprint,
-                here.engine.name,
-            )
-            if breaks >= crash.BREAKS:
-                _LOG.write('a request is refused.', breaks=breaks)
+            self._gate.note_break(entry, here.engine.name)
         elif report.outcome is ask.Outcome.answered:
-            self._crashes.note_answer(entry.fingerprint)
+            self._gate.note_answer(entry)
             usual = waiting.pattern_by_route[entry.route].run_seconds
             here.note_pace(report.total / max(usual, report.total / 4))
             waiting.note_run(entry.route, report)
@@ -392,7 +324,7 @@
         ]
         for ticket in over:
             waiting.waiting_by_key.pop(ticket.key)
-            self._quotas.refund(ticket.ask.customer, ticket.ask.cost)
+            self._gate.refund(ticket.ask)
             self._refuse(ticket.key, ticket.ask, ask.Reason.expired, 0)
 
     def _is_hopeless(
--- a/pimentoway/ops/claimlog.py
+++ b/pimentoway/ops/claimlog.py
@@ -12,8 +12,8 @@
 from gevent import event as gevent_event
 
 from pimentoway.core import clock, error, log, request
-from pimentoway.ops import claim, shard
 from pimentoway.objects import store
+from pimentoway.ops import claim, shard
 
 #: Seconds for which a claim may wait for the platform.
 CLAIM_SECONDS = 3
--- /dev/null
+++ b/pimentoway/ops/gate.py
@@ -0,0 +1,170 @@
+"""Which requests may wait for a slot at all: quota, budget, time, safety."""
+
+import dataclasses
+
+from pimentoway.core import deployment, log, place
+from pimentoway.ops import ask, crash, quota, view, window
+
+#: The part of the retry budget that is given out; the rest covers repeats
+#: that other brokers allow while nodes change theirs.
+BUDGET_PART = 0.7
+
+#: Seconds after which a caller may come back when nothing better is known.
+RETRY_SECONDS = 0.15
+
+_LOG = log.Log('gate')
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlook:
+    """How a service stands for one more request.
+
+    Attributes:
+        wait: Seconds until it would get a slot; nothing if there is no back
+            end.
+        first: Seconds from the slot to the first event.
+        idle: Whether slots are free that nobody else wants.
+        share: The part of the nodes that ask here.
+    """
+
+    wait: float | None
+    first: float
+    idle: bool
+    share: float
+
+
+class Gate:
+    """Decides which requests may wait."""
+
+    def __init__(self, bounds: place.Bounds, known: view.View) -> None:
+        """Start with full quotas and budgets.
+
+        Args:
+            bounds: The promises of the deployment.
+            known: The view.
+        """
+        self._bounds = bounds
+        self._view = known
+        self._quotas = quota.QuotaBook(bounds)
+        self._crashes = crash.CrashLedger()
+        self._asks_by_service: dict[str, window.Window] = {}
+        self._repeats_by_service: dict[str, window.Window] = {}
+
+    def check(
+        self, entry: ask.Ask, outlook: Outlook
+    ) -> tuple[ask.Reason | None, float]:
+        """Decide whether a request may wait, and charge its quota if so.
+
+        Args:
+            entry: The ask.
+            outlook: How its service stands.
+
+        Returns:
+            Why it is refused, if it is, and the seconds after which coming
+            back helps.
+        """
+        block = self._crashes.measure_block(entry.fingerprint)
+        if block:
+            return ask.Reason.suspect, block
+        if entry.repeats and not self._allows_repeat(entry, outlook):
+            return ask.Reason.no_budget, RETRY_SECONDS
+        reason, wait = _check_time(entry, outlook)
+        if reason is None and not entry.repeats:
+            wait = self._spend(entry, outlook)
+            reason = ask.Reason.over_quota if wait else None
+        if reason is None:
+            self._count(entry)
+        return reason, wait
+
+    def refund(self, entry: ask.Ask) -> None:
+        """Give back the quota of a request that did not run.
+
+        Args:
+            entry: The ask.
+        """
+        self._quotas.refund(entry.customer, entry.cost)
+
+    def charge(self, usage: ask.Usage) -> None:
+        """Charge what a node used of a quota before it asked here.
+
+        Args:
+            usage: The usage.
+        """
+        customer = self._find_customer(usage.customer)
+        if customer:
+            self._quotas.charge(customer, usage.cost)
+
+    def note_break(self, entry: ask.Ask, engine: str) -> None:
+        """Note that the connection to a back end broke under a request.
+
+        Args:
+            entry: The ask.
+            engine: The back end.
+        """
+        breaks = self._crashes.note_break(entry.fingerprint, engine)
+        if breaks >= crash.BREAKS:
+            _LOG.write(
+                'a request is refused from now on.',
+                fingerprint=entry.fingerprint,
+                breaks=breaks,
+                route=entry.route,
+            )
+
+    def note_answer(self, entry: ask.Ask) -> None:
+        """Note that a request was answered.
+
+        Args:
+            entry: The ask.
+        """
+        self._crashes.note_answer(entry.fingerprint)
+
+    def _allows_repeat(self, entry: ask.Ask, outlook: Outlook) -> bool:
+        asks = self._find_window(self._asks_by_service, entry.service)
+        repeats = self._find_window(self._repeats_by_service, entry.service)
+        budget = (
+            self._bounds.retry_ratio * asks.measure()
+            + self._bounds.retry_slack * outlook.share
+        )
+        return repeats.measure() + 1 <= budget * BUDGET_PART
+
+    def _count(self, entry: ask.Ask) -> None:
+        by_service = self._asks_by_service
+        if entry.repeats:
+            by_service = self._repeats_by_service
+        self._find_window(by_service, entry.service).add()
+
+    def _find_window(
+        self, by_service: dict[str, window.Window], service: str
+    ) -> window.Window:
+        found = by_service.get(service)
+        if found is None:
+            found = window.Window(self._bounds.retry_window)
+            by_service[service] = found
+        return found
+
+    def _spend(self, entry: ask.Ask, outlook: Outlook) -> float:
+        customer = self._find_customer(entry.customer)
+        if customer is None:
+            return 0
+        return self._quotas.spend(
+            customer,
+            entry.cost,
+            outlook.share,
+            outlook.idle,
+        )
+
+    def _find_customer(self, name: str) -> deployment.Customer | None:
+        if not name or self._view.deployment is None:
+            return None
+        return self._view.deployment.customers_by_name.get(name)
+
+
+def _check_time(
+    entry: ask.Ask, outlook: Outlook
+) -> tuple[ask.Reason | None, float]:
+    if outlook.wait is None:
+        return ask.Reason.no_backend, RETRY_SECONDS * 2
+    needed = outlook.wait + outlook.first
+    if outlook.wait and needed > entry.time_left:
+        return ask.Reason.overloaded, outlook.wait / 2
+    return None, 0
--- a/pimentoway/ops/line.py
+++ b/pimentoway/ops/line.py
@@ -87,8 +87,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.waiting_by_key: dict[station.RunKey, Ticket] = {}
-        self.pattern_by_route: dict[str, Pattern] = (
-            collections.defaultdict(Pattern)
+        self.pattern_by_route: dict[str, Pattern] = collections.defaultdict(
+            Pattern
         )
         self._faded = clock.read_monotonic()
 
@@ -146,12 +146,12 @@
             self.waiting_by_key.values(),
             key=lambda ticket: (
                 ticket.ask.route not in short,
-                -self.measure_value(ticket.ask, ticket.goal - now),
+                -self.measure_worth(ticket.ask, ticket.goal - now),
                 ticket.goal,
             ),
         )
 
-    def measure_value(self, entry: ask.Ask, goal_left: float) -> float:
+    def measure_worth(self, entry: ask.Ask, goal_left: float) -> float:
         """Measure what an answer is worth if the request starts now.
 
         Args:
@@ -159,11 +159,11 @@
             goal_left: Seconds until its goal.
 
         Returns:
-            The value, relative to others.
+            The worth, relative to others.
         """
-        rank_value = RANK_RATIO**-entry.rank
         first = self.pattern_by_route[entry.route].first_seconds
-        return rank_value * (LATE_PART if first > goal_left else 1)
+        part = LATE_PART if first > goal_left else 1
+        return part * RANK_RATIO**-entry.rank
 
     def estimate_work(self, entry: ask.Ask) -> float:
         """Estimate the work that goes before a request.
@@ -174,12 +174,12 @@
         Returns:
             Seconds of slots.
         """
-        value = self.measure_value(entry, entry.goal_left)
+        worth = self.measure_worth(entry, entry.goal_left)
         now = clock.read_monotonic()
         return sum(
             self.pattern_by_route[one.ask.route].run_seconds
             for one in self.waiting_by_key.values()
-            if self.measure_value(one.ask, one.goal - now) >= value
+            if self.measure_worth(one.ask, one.goal - now) >= worth
         )
 
     def _find_short_routes(self) -> frozenset[str]:
--- a/pimentoway/ops/shard.py
+++ b/pimentoway/ops/shard.py
@@ -11,8 +11,8 @@
 from gevent import event as gevent_event
 
 from pimentoway.core import clock, codec, error, log
-from pimentoway.ops import claim
 from pimentoway.objects import store
+from pimentoway.ops import claim
 
 #: The size from which a segment is sealed, in bytes.
 SEGMENT_BYTES = 64_000
--- a/pimentoway/ops/shard_test.py
+++ b/pimentoway/ops/shard_test.py
@@ -9,8 +9,8 @@
 from hypothesis import stateful, strategies
 
 from pimentoway.core import error
-from pimentoway.ops import claim, shard
 from pimentoway.objects import store as platform_store
+from pimentoway.ops import claim, shard
 from pimentoway.standin import paused_loop, store
 
 
--- a/pimentoway/ops/station.py
+++ b/pimentoway/ops/station.py
@@ -71,8 +71,8 @@
         self.engine = engine
         self.run_by_key: dict[RunKey, Run] = {}
         self.pace = 1.0
-        self.failures = 0.0
-        self.paused_until = 0.0
+        self.failures: float = 0
+        self.paused_until: float = 0
         self._faults = 0
         self._foreign = 0
         self._foreign_time = float('-inf')
@@ -97,9 +97,9 @@
             self._cold_until = max(self._cold_until, until)
         if renewed or moved:
             self.run_by_key.clear()
-            self.paused_until = 0.0
+            self.paused_until = 0
             self._faults = 0
-            self.failures = 0.0
+            self.failures = 0
         return renewed or moved
 
     def count_slots(self, share: float) -> int:
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -15,6 +15,9 @@
 #: although their back ends live.
 TROUBLE_SECONDS = 3.0
 
+#: The kinds whose changes are logged.
+LOGGED_KINDS = frozenset(registry.Kind) - {registry.Kind.peers}
+
 _LOG = log.Log('view')
 
 
@@ -194,29 +197,31 @@
     def _apply(
         self, kind: registry.Kind, change: registry.Change, source: str
     ) -> None:
-        records = self._records_by_kind[kind]
-        record = change.record
-        if isinstance(record, deployment.Deployment):
-            self._adopt(record, source)
+        if isinstance(change.record, deployment.Deployment):
+            self._adopt(change.record, source)
             return
-        if record is not None:
-            records[change.name] = record
-            self._lapsed_by_name.pop(change.name, None)
-        elif kind is registry.Kind.engines and self._is_doubtful(change.name):
-            end = clock.read_monotonic() + LAPSE_SECONDS
-            self._lapsed_by_name.setdefault(change.name, end)
+        if change.record is None:
+            self._remove(kind, change.name)
         else:
-            records.pop(change.name, None)
-        if kind is not registry.Kind.peers:
+            self._records_by_kind[kind][change.name] = change.record
+            self._lapsed_by_name.pop(change.name, None)
+        if kind in LOGGED_KINDS:
             _LOG.write(
                 'record changed.',
                 kind=kind.value,
                 name=change.name,
-                record=None if record is None else str(record),
+                record=str(change.record),
                 revision=self.revision_by_kind[kind],
                 source=source,
             )
 
+    def _remove(self, kind: registry.Kind, name: str) -> None:
+        if kind is registry.Kind.engines and self._is_doubtful(name):
+            end = clock.read_monotonic() + LAPSE_SECONDS
+            self._lapsed_by_name.setdefault(name, end)
+        else:
+            self._records_by_kind[kind].pop(name, None)
+
     def _is_doubtful(self, name: str) -> bool:
         known = self._records_by_kind[registry.Kind.engines].get(name)
         if known is None or known.draining:
@@ -234,7 +239,6 @@
         _LOG.write(
             'configuration is in force.',
             version=newer.version,
-            before=held.version if held else 0,
             routes=len(newer.routes),
             customers={
                 one.name: (one.rank, one.rate, one.burst)
--- a/pimentoway/ops/window.py
+++ b/pimentoway/ops/window.py
@@ -18,7 +18,7 @@
         Args:
             seconds: The length of the window.
         """
-        self.total = 0.0
+        self.total: float = 0
         self._seconds = seconds
         self._entries: collections.deque[tuple[float, float]] = (
             collections.deque()
@@ -43,7 +43,7 @@
         while self._entries and self._entries[0][0] <= start:
             self.total -= self._entries.popleft()[1]
         if not self._entries:
-            self.total = 0.0
+            self.total = 0
         return self.total
 
     def measure_until(self, amount: float) -> float:
--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -1,6 +1,6 @@
 """The objects of the platform's store, decoded into the product's records."""
 
-import functools
+import types
 import typing
 
 import msgspec
@@ -14,17 +14,21 @@
 CONFIGURATION_NAME = 'main'
 
 #: The words of the store for the kinds of routes.
-KINDS_BY_WORD = {
-    'safe': deployment.Kind.safe,
-    'unsafe': deployment.Kind.unsafe,
-    'streaming': deployment.Kind.stream,
-}
+KINDS_BY_WORD = types.MappingProxyType(
+    {
+        'safe': deployment.Kind.safe,
+        'unsafe': deployment.Kind.unsafe,
+        'streaming': deployment.Kind.stream,
+    },
+)
 
 #: The unit of a quota that counts tokens.
 TOKEN_UNIT = 'token_stream'
 
 #: The words of the store for the states of back ends, and whether they leave.
-DRAINING_BY_STATE = {'ready': False, 'draining': True}
+DRAINING_BY_STATE = types.MappingProxyType(
+    {'ready': False, 'draining': True},
+)
 
 Revision = typing.Annotated[int, msgspec.Meta(ge=0)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0)]
@@ -53,7 +57,7 @@
     deleting: bool = False
 
 
-class Item(_Pascal):
+class StoredObject(_Pascal):
     """An object of the store.
 
     Attributes:
@@ -161,24 +165,24 @@
     cores: float
 
 
-def decode(kind: registry.Kind, item: Item) -> registry.Record:
+def decode(kind: registry.Kind, stored: StoredObject) -> registry.Record:
     """Decode an object of the store.
 
+    A field that is missing or of another type raises a ``MsgspecError``.
+
     Args:
         kind: The kind of the object.
-        item: The object.
+        stored: The object.
 
     Returns:
         The record that it holds.
 
-    Raises:
-        msgspec.MsgspecError: If a field is missing or of another type.
     """
-    return _DECODERS_BY_KIND[kind](item)
+    return _DECODERS_BY_KIND[kind](stored)
 
 
-def _decode_configuration(item: Item) -> deployment.Deployment:
-    raw = msgspec.json.decode(item.spec, type=_Configuration)
+def _decode_configuration(stored: StoredObject) -> deployment.Deployment:
+    raw = msgspec.json.decode(stored.spec, type=_Configuration)
     return deployment.Deployment(
         version=raw.version,
         routes=tuple(_make_route(one) for one in raw.routes),
@@ -240,13 +244,13 @@
     )
 
 
-def _decode_engine(item: Item) -> deployment.Engine:
-    raw = msgspec.json.decode(item.spec, type=_Server)
+def _decode_engine(stored: StoredObject) -> deployment.Engine:
+    raw = msgspec.json.decode(stored.spec, type=_Server)
     host, _, port = raw.address.rpartition(':')
     if not host or not port.isdigit():
         raise msgspec.ValidationError(f'no address: {raw.address!r}')
     return deployment.Engine(
-        name=item.metadata.name,
+        name=stored.metadata.name,
         service=raw.service,
         address=raw.address,
         zone=raw.zone,
@@ -258,29 +262,29 @@
     )
 
 
-def _decode_rollout(item: Item) -> deployment.Rollout:
-    raw = msgspec.json.decode(item.spec, type=_Rollout)
-    status = msgspec.json.decode(item.status, type=_RolloutStatus | None)
+def _decode_rollout(stored: StoredObject) -> deployment.Rollout:
+    raw = msgspec.json.decode(stored.spec, type=_Rollout)
+    status = msgspec.json.decode(stored.status, type=_RolloutStatus | None)
     # The status of an earlier order for the same service says nothing.
     current = status is not None and status.target == raw.target
     return deployment.Rollout(
         service=raw.service,
         version=raw.target,
         seconds=raw.duration_s,
-        identity=f'{item.metadata.created}/{raw.target}',
+        identity=f'{stored.metadata.created}/{raw.target}',
         state=status.state if current else '',
-        revision=item.metadata.revision,
+        revision=stored.metadata.revision,
     )
 
 
-def _decode_evacuation(item: Item) -> str:
-    return item.metadata.name
+def _decode_evacuation(stored: StoredObject) -> str:
+    return stored.metadata.name
 
 
-def _decode_peer(item: Item) -> deployment.Peer:
-    raw = msgspec.json.decode(item.spec, type=_Peer)
+def _decode_peer(stored: StoredObject) -> deployment.Peer:
+    raw = msgspec.json.decode(stored.spec, type=_Peer)
     return deployment.Peer(
-        name=item.metadata.name,
+        name=stored.metadata.name,
         zone=raw.zone,
         address=raw.address,
         cores=raw.cores,
@@ -319,10 +323,12 @@
     return meanings_by_word[word]
 
 
-_DECODERS_BY_KIND = {
-    registry.Kind.configuration: _decode_configuration,
-    registry.Kind.engines: _decode_engine,
-    registry.Kind.rollouts: _decode_rollout,
-    registry.Kind.evacuations: _decode_evacuation,
-    registry.Kind.peers: _decode_peer,
-}
+_DECODERS_BY_KIND = types.MappingProxyType(
+    {
+        registry.Kind.configuration: _decode_configuration,
+        registry.Kind.engines: _decode_engine,
+        registry.Kind.rollouts: _decode_rollout,
+        registry.Kind.evacuations: _decode_evacuation,
+        registry.Kind.peers: _decode_peer,
+    },
+)
--- a/pimentoway/platform/setting.py
+++ b/pimentoway/platform/setting.py
@@ -14,7 +14,7 @@
 MILLISECONDS = 1000
 
 #: Bytes in a megabyte.
-MEGABYTE = 1 << 20
+MEGABYTE = 0x100000
 
 #: The offset of the metrics port in the range of internal ports.
 METRICS_PORT_OFFSET = 1
--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -1,6 +1,6 @@
 """The registry on the platform's store."""
 
-import contextlib
+import types
 from urllib import parse
 
 import msgspec
@@ -22,7 +22,7 @@
 #: a slow store takes up to a hundred times as long.
 ANSWER_SECONDS = 1.5
 
-#: The pages of one listing at the most; a page holds about 500 objects.
+#: The pages of one listing at the most; a page holds about 500 entries.
 PAGES = 40
 
 #: Milliseconds in a second.
@@ -31,13 +31,15 @@
 _PREFIX = '/pimentoway/objects'
 
 #: The names of the store for the kinds; the last is the system's own.
-PATHS_BY_KIND = {
-    registry.Kind.configuration: 'config',
-    registry.Kind.engines: 'servers',
-    registry.Kind.rollouts: 'rollouts',
-    registry.Kind.evacuations: 'evacuations',
-    registry.Kind.peers: 'pimentoway-nodes',
-}
+PATHS_BY_KIND = types.MappingProxyType(
+    {
+        registry.Kind.configuration: 'config',
+        registry.Kind.engines: 'servers',
+        registry.Kind.rollouts: 'rollouts',
+        registry.Kind.evacuations: 'evacuations',
+        registry.Kind.peers: 'pimentoway-nodes',
+    },
+)
 
 _OK = 200
 _CREATED = 201
@@ -51,7 +53,10 @@
 
 
 class _Page(msgspec.Struct, rename='pascal'):
-    items: list[msgspec.Raw] = []
+    entries: list[msgspec.Raw] = msgspec.field(
+        default_factory=list,
+        name='Items',
+    )
     has_more: bool = False
     store_revision: int = 0
 
@@ -91,21 +96,16 @@
         Raises:
             PlatformError: If the listing has too many pages.
         """
-        records_by_name: dict[str, registry.Record] = {}
-        after = ''
+        changes: list[registry.Change] = []
         revision = 0
         for _ in range(PAGES):
-            query = f'?{parse.urlencode({"AfterRev": after})}' if after else ''
-            page = self._read_page(kind, query)
+            after = changes[-1].name if changes else ''
+            page = self._read_page(kind, after)
             # Changes after the first page are seen again by the watch.
             revision = revision or page.store_revision
-            for raw in page.items:
-                change = _decode_object(kind, raw)
-                after = change.name
-                if change.record is not None:
-                    records_by_name[change.name] = change.record
-            if not page.has_more or not after:
-                return registry.Listing(revision, records_by_name)
+            changes.extend(_decode_object(kind, raw) for raw in page.entries)
+            if not page.has_more:
+                return registry.Listing(revision, _collect_records(changes))
         raise error.PlatformError('too many pages', 'list', self._address)
 
     def watch_records(
@@ -178,7 +178,9 @@
         }
         self._call('PUT', f'{path}/status', body)
 
-    def _read_page(self, kind: registry.Kind, query: str) -> _Page:
+    def _read_page(self, kind: registry.Kind, after: str) -> _Page:
+        # The key says revision, but it takes the name of the last object.
+        query = f'?{parse.urlencode({"AfterRev": after})}' if after else ''
         answer = self._call('GET', f'{_make_path(kind)}{query}')
         return _decode(answer.body, _Page)
 
@@ -244,19 +246,23 @@
         ) from fault
 
 
+def _collect_records(
+    changes: list[registry.Change],
+) -> dict[str, registry.Record]:
+    return {
+        change.name: change.record
+        for change in changes
+        if change.record is not None
+    }
+
+
 def _decode_object(kind: registry.Kind, raw: bytes) -> registry.Change:
     # One object that can't be decoded must not hide the others.
     name = ''
     try:
-        item = msgspec.json.decode(raw, type=record.Item)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
-        with contextlib.suppress(msgspec.MsgspecError, UnicodeDecodeError):
-            name = msgspec.json.decode(raw, type=_Named).metadata.name
-        _LOG.write('skipped an object.', kind=kind.value, reason=str(fault))
-        return registry.Change(name, None)
-    name = item.metadata.name
-    try:
-        return registry.Change(name, record.decode(kind, item))
+        name = msgspec.json.decode(raw, type=_Named).metadata.name
+        stored = msgspec.json.decode(raw, type=record.StoredObject)
+        return registry.Change(name, record.decode(kind, stored))
     except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
         _LOG.write(
             'skipped an object.',
--- a/pimentoway/platform/wire.py
+++ b/pimentoway/platform/wire.py
@@ -168,7 +168,7 @@
         lines.append(b'%s: %s' % (_EVENT_ID_NAME, errand.after_event))
     if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(b'Content-Length: %d' % len(request.body))
-    return b'\r\n'.join(lines) + b'\r\n\r\n'
+    return b'%s\r\n\r\n' % b'\r\n'.join(lines)
 
 
 def read_marks(answer: message.Answer) -> call.Marks:
--- a/pimentoway/standin/peer.py
+++ b/pimentoway/standin/peer.py
@@ -2,8 +2,8 @@
 
 from pimentoway.core import error
 from pimentoway.nodes import message, relay
-from pimentoway.ops import claim, permit
 from pimentoway.objects import store
+from pimentoway.ops import claim, permit
 from pimentoway.standin import network
 
 
--- a/pimentoway/standin/world.py
+++ b/pimentoway/standin/world.py
@@ -12,8 +12,8 @@
 from pimentoway.backends import exchange
 from pimentoway.callers import app as callers_app
 from pimentoway.core import clock, codec, configuration, error, index, request
-from pimentoway.parser import setting
 from pimentoway.objects import head
+from pimentoway.parser import setting
 from pimentoway.standin import model, network, paused_loop, peer, shape, store
 from pimentoway.tools import node as tools_node
 
--- a/pimentoway/tools/command.py
+++ b/pimentoway/tools/command.py
@@ -24,9 +24,9 @@
     error,
     index,
 )
+from pimentoway.objects import client, head
 from pimentoway.ops import rollout
 from pimentoway.parser import declaration, ini, setting
-from pimentoway.objects import client, head
 from pimentoway.tools import controller, entry
 
 #: The version of the program.
--- a/pimentoway/tools/controller.py
+++ b/pimentoway/tools/controller.py
@@ -13,8 +13,8 @@
 import gevent
 
 from pimentoway.core import clock, codec, configuration, error, log
-from pimentoway.ops import judge, keeper, rollout
 from pimentoway.objects import head, lease, store
+from pimentoway.ops import judge, keeper, rollout
 
 #: The kind of the records of rollouts.
 ROLLOUT_KIND = 'rollout'
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -107,9 +107,7 @@
         self._platform = platform
         self._boot = uuid.uuid4().hex[:8]
         self._owner = f'{here.name}/{self._boot}'
-        self.slots = admission.Admission(
-            self._owner, here.bounds.quota_window
-        )
+        self.slots = admission.Admission(self._owner, here.bounds.quota_window)
         self.broker = broker.Broker(here.bounds, self.view, self._reply)
         self.slots.use_local(self.broker)
         self._links = link.LinkServer(self.view, self._take, self._lose)
@@ -218,15 +216,12 @@
     def _answer_ready(
         self, environ: dict, start_response: collections.abc.Callable
     ) -> list[bytes]:
-        expected = environ['PATH_INFO'] == self._platform.dialect.ready_path
-        if not expected:
-            start_response('404 Not Found', [('Content-Length', '0')])
-        elif self.is_ready():
-            start_response('200 OK', [('Content-Length', '0')])
-        else:
-            start_response(
-                '503 Service Unavailable', [('Content-Length', '0')]
-            )
+        status = '404 Not Found'
+        if environ['PATH_INFO'] == self._platform.dialect.ready_path:
+            status = '503 Service Unavailable'
+            if self.is_ready():
+                status = '200 OK'
+        start_response(status, [('Content-Length', '0')])
         return []
 
     def _take(self, source: link.Link, content: frame.Message) -> None:
@@ -282,9 +277,7 @@
                 self._remove_dead()
 
     def _leads(self) -> bool:
-        return (
-            not self.slots.is_remote and self.broker.share >= LEADING_SHARE
-        )
+        return not self.slots.is_remote and self.broker.share >= LEADING_SHARE
 
     def _remove_dead(self) -> None:
         now = clock.read_monotonic()
--- a/pimentoway/tools/entry.py
+++ b/pimentoway/tools/entry.py
@@ -10,9 +10,9 @@
 from pimentoway.callers import app as callers_app
 from pimentoway.core import log, serving
 from pimentoway.nodes import call, transport
+from pimentoway.objects import client
 from pimentoway.operators import app as operators_app
 from pimentoway.parser import setting
-from pimentoway.objects import client
 from pimentoway.tools import node
 
 #: The connections of operators at the most.
--- a/pimentoway/tools/node.py
+++ b/pimentoway/tools/node.py
@@ -23,6 +23,7 @@
     trace,
 )
 from pimentoway.nodes import gossip, member, message, relay
+from pimentoway.objects import feed, store
 from pimentoway.ops import (
     claimlog,
     dispatch,
@@ -35,7 +36,6 @@
     scheduler,
 )
 from pimentoway.parser import setting
-from pimentoway.objects import feed, store
 from pimentoway.tools import controller
 
 #: The nodes of a failure domain that hold a watch.
--- a/pimentoway/tools/rollout_proof_test.py
+++ b/pimentoway/tools/rollout_proof_test.py
@@ -5,8 +5,8 @@
 import pytest
 
 from pimentoway.core import clock, codec, configuration, error
-from pimentoway.ops import rollout
 from pimentoway.objects import head, lease
+from pimentoway.ops import rollout
 from pimentoway.standin import model, shape, store, world
 from pimentoway.tools import controller
 
