--- /dev/null
+++ b/pimentoway/platform/setting_test.py
@@ -0,0 +1,77 @@
+"""Tests of the platform's settings file."""
+
+import pathlib
+
+import pytest
+
+from pimentoway.core import error
+from pimentoway.platform import setting
+
+TEXT = """
+NodeName = "edge-a-1"
+Ip = "10.1.0.2"
+Zone = "a"
+InternalPorts = [7600, 7615]
+Seeds = ["10.1.0.2:8229", "10.2.0.2:8229"]
+Unknown = "is passed over"
+[Zones]
+a = "r"
+b = "r"
+[Listen]
+Front = "10.1.0.2:8221"
+Ready = "10.1.0.2:8224"
+Control = "10.1.0.2:8229"
+[Limits]
+CpuShare = 0.5
+Cores = 2
+MemoryMb = 150
+MaxFds = 4100
+[Bounds]
+ContactMs = 3000
+QuotaSlack = 110000
+FailClosed = false
+[Platform]
+Address = "10.200.1.7:8225"
+"""
+
+
+def test_settings_are_decoded() -> None:
+    """Each setting ends in the field that says what it holds."""
+    here = setting.decode_place(TEXT.encode())
+    assert here.peers == '10.1.0.2:8229'
+    assert here.metrics == '10.1.0.2:7601'
+    assert here.cores == 1
+    assert here.bounds.contact == 3
+    assert here.bounds.quota_slack == 110000
+    assert here.zones == ('a', 'b')
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        TEXT.replace('Ip = "10.1.0.2"', ''),
+        TEXT.replace('MaxFds = 4100', 'MaxFds = "many"'),
+        'no toml at all',
+        '\udcff',
+    ],
+)
+def test_wrong_settings_are_a_clear_error(text: str) -> None:
+    """Settings that lack something are refused with a reason."""
+    with pytest.raises(error.SettingError) as caught:
+        setting.decode_place(text.encode(errors='surrogateescape'), 'file')
+    assert 'file' in str(caught.value)
+
+
+def test_missing_file_is_a_clear_error(tmp_path: pathlib.Path) -> None:
+    """A file that is not there is refused with a reason."""
+    with pytest.raises(error.SettingError):
+        setting.read_place(tmp_path / 'none.toml')
+
+
+def test_missing_variable_is_a_clear_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An environment without the path is refused with a reason."""
+    monkeypatch.delenv(setting.PATH_VARIABLE, raising=False)
+    with pytest.raises(error.SettingError):
+        setting.find_path()
