--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -23,9 +23,6 @@
 #: that it arrives in time.
 MARGIN_SECONDS = 0.02
 
-#: The tokens of a stream's answer if the caller gives no estimate.
-DEFAULT_OUTPUT_TOKENS = 50
-
 #: The attempts at a request that did not run anywhere.
 PLACEMENTS = 6
 
@@ -179,7 +176,6 @@
     def _ask(self, served: job.Job) -> tuple[ask.Ask, deployment.Engine | None]:
         now = clock.read_monotonic()
         prompt = served.request.prompt or call.Prompt()
-        output = prompt.hinted_tokens or DEFAULT_OUTPUT_TOKENS
         customer = served.customer
         entry = ask.Ask(
             number=0,
@@ -191,8 +187,10 @@
             cost=served.measure_cost(),
             goal_left=served.arrived + served.route.goal - now,
             time_left=served.deadline - now,
+            patience_left=_find_patience(served) - now,
             prompt_tokens=prompt.prompt_tokens,
-            output_tokens=min(output, prompt.output_tokens or output),
+            output_tokens=prompt.estimate_output(),
+            size=prompt.measure_size(),
             fingerprint=served.make_fingerprint(),
             repeats=served.repeats,
             avoided=served.avoided,
@@ -251,6 +249,12 @@
         )
 
 
+def _find_patience(served: job.Job) -> float:
+    if served.writer.begun:
+        return served.deadline
+    return min(served.deadline, served.arrived + served.route.patience)
+
+
 def _find_customer(
     held: deployment.Deployment,
     route: deployment.Route,
--- a/pimentoway/core/call.py
+++ b/pimentoway/core/call.py
@@ -5,6 +5,9 @@
 
 from pimentoway.core import deployment, message
 
+#: The tokens of a prompt that are worth one token of an answer.
+OUTPUT_WEIGHT = 10
+
 
 @dataclasses.dataclass(frozen=True)
 class Prompt:
@@ -21,6 +24,24 @@
     output_tokens: int = 0
     hinted_tokens: int = 0
 
+    def estimate_output(self) -> int:
+        """Estimate the tokens of the answer.
+
+        Returns:
+            The tokens, 0 if nothing is known of them.
+        """
+        if not self.hinted_tokens:
+            return self.output_tokens
+        return min(self.hinted_tokens, self.output_tokens)
+
+    def measure_size(self) -> float:
+        """Measure the work that the request asks for.
+
+        Returns:
+            The work in tokens of a prompt.
+        """
+        return self.prompt_tokens + OUTPUT_WEIGHT * self.output_tokens
+
 
 @dataclasses.dataclass(frozen=True)
 class CallerRequest:
--- a/pimentoway/core/deployment.py
+++ b/pimentoway/core/deployment.py
@@ -7,6 +7,12 @@
 
 import xxhash
 
+#: How long callers wait for the first event of a stream: at least so many
+#: seconds, goals and pauses, whichever is longest.
+PATIENCE_SECONDS = 2.0
+PATIENCE_GOALS = 4
+PATIENCE_GAPS = 8
+
 #: The range of the hash that picks a service by weight.
 HASH_RANGE = 0x100000000
 
@@ -45,6 +51,8 @@
         attempts: The back ends to which one request may be sent.
         timeout: The longest time, in seconds, that a request is kept.
         goal: The seconds within which an answer is worth most.
+        gap: The longest pause, in seconds, between two events of a stream
+            that is still in time; 0 if there is no bound.
         rank: The tier; 0 is the highest.
         public: Whether requests need no key.
         resumable: Whether a stream may be continued at another back end.
@@ -58,6 +66,7 @@
     attempts: int
     timeout: float
     goal: float
+    gap: float
     rank: int
     public: bool
     resumable: bool
@@ -73,6 +82,21 @@
             return self.resumable
         return self.kind is Kind.safe
 
+    @functools.cached_property
+    def patience(self) -> float:
+        """Work out how long a caller waits for the first event.
+
+        Returns:
+            The seconds; for other answers than streams, the timeout.
+        """
+        if self.kind is not Kind.stream:
+            return self.timeout
+        return max(
+            PATIENCE_SECONDS,
+            PATIENCE_GOALS * self.goal,
+            PATIENCE_GAPS * self.gap,
+        )
+
     def choose_service(self, request_id: str) -> str:
         """Pick the service of a request by a hash of its identifier.
 
--- a/pimentoway/core/eventstream_test.py
+++ b/pimentoway/core/eventstream_test.py
@@ -1,7 +1,6 @@
 """Tests of cutting streams into events."""
 
-from hypothesis import given
-from hypothesis import strategies
+from hypothesis import given, strategies
 
 from pimentoway.core import eventstream
 
--- a/pimentoway/core/message_test.py
+++ b/pimentoway/core/message_test.py
@@ -1,8 +1,7 @@
 """Tests of reading HTTP messages byte by byte."""
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies
+from hypothesis import given, strategies
 
 from pimentoway.core import error, message
 
@@ -148,7 +147,6 @@
     """A 100 before the answer is not the answer."""
     reader = message.AnswerReader()
     reader.feed(
-        b'HTTP/1.1 100 Continue\r\n\r\n'
-        b'HTTP/1.1 204 No Content\r\n\r\n',
+        b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n',
     )
     assert [one.status for one in reader.answers] == [204]
--- a/pimentoway/ops/admission.py
+++ b/pimentoway/ops/admission.py
@@ -235,6 +235,7 @@
             entry,
             goal_left=entry.goal_left - passed,
             time_left=entry.time_left - passed,
+            patience_left=entry.patience_left - passed,
         )
         pending.sent = clock.read_monotonic()
         self._submit(pending)
--- a/pimentoway/ops/ask.py
+++ b/pimentoway/ops/ask.py
@@ -79,8 +79,12 @@
         cost: What the request uses of the customer's quota.
         goal_left: Seconds until the goal of the request.
         time_left: Seconds until the request is given up.
+        patience_left: Seconds until its caller leaves if nothing came.
         prompt_tokens: The tokens of its prompt.
-        output_tokens: The tokens of its answer, as estimated.
+        output_tokens: The tokens of its answer, as estimated; 0 if nothing
+            is known of them.
+        size: The work that it asks for, in tokens of a prompt; 0 if nothing
+            is known of it.
         fingerprint: Tells the same request when it comes again.
         repeats: The earlier back ends of this request that it arrived at.
         avoided: The back ends that should not get it.
@@ -95,8 +99,10 @@
     cost: float
     goal_left: float
     time_left: float
+    patience_left: float
     prompt_tokens: int
     output_tokens: int
+    size: float
     fingerprint: int
     repeats: int = 0
     avoided: tuple[str, ...] = ()
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -23,6 +23,9 @@
 #: The cost, in seconds, of a back end whose slots are all but used up.
 CROWD_SECONDS = 0.03
 
+#: The cost, in seconds, of a back end too slow for the request to end in time.
+OVERTIME_SECONDS = 0.3
+
 #: Seconds for which the runs of a node that vanished are counted: back ends
 #: stop soon after a connection is gone.
 VANISHED_SECONDS = 1.5
@@ -31,9 +34,6 @@
 RETRY_FLOOR_SECONDS = 0.15
 RETRY_CEILING_SECONDS = 3.0
 
-#: The part of the time left that a run must at least have.
-LEAST_RUN_PART = 0.5
-
 _LOG = log.Log('broker')
 
 Reply = collections.abc.Callable[[str, ask.Grant | ask.Refusal], None]
@@ -77,9 +77,13 @@
             owner: The node that asks.
             entry: The ask.
         """
+        entry = self._gate.recall(entry)
+        self._line_by_service[entry.service].note_ask(entry)
         reason, wait = self._gate.check(entry, self._find_outlook(entry))
         if reason is not None:
-            self._refuse((owner, entry.number), entry, reason, wait)
+            goal = clock.read_monotonic() + entry.goal_left
+            self._gate.note_refusal(entry, goal)
+            self._refuse((owner, entry.number), reason, wait)
             return
         now = clock.read_monotonic()
         ticket = line.Ticket(
@@ -88,6 +92,7 @@
             arrived=now,
             goal=now + entry.goal_left,
             deadline=now + entry.time_left,
+            patience=now + entry.patience_left,
         )
         self._line_by_service[entry.service].add(ticket)
         self.pump(entry.service)
@@ -152,19 +157,12 @@
 
     def tick(self) -> None:
         """Give up what is too late, and look at all lines again."""
-        now = clock.read_monotonic()
-        over = [
-            owner
-            for owner, end in self._vanished_by_owner.items()
-            if end <= now
-        ]
-        for owner in over:
-            self._vanished_by_owner.pop(owner)
-            self._drop_runs(owner)
+        self._drop_vanished()
+        self._recount()
         for service, waiting in self._line_by_service.items():
             waiting.fade()
-            self._expire(waiting, now)
             self.pump(service)
+            self._expire(service, waiting)
 
     def pump(self, service: str) -> None:
         """Grant the free slots of a service to waiting requests.
@@ -176,20 +174,13 @@
         if not waiting.waiting_by_key:
             return
         free = self._list_free(service)
-        for ticket in waiting.list_ordered():
+        left = sum(here.count_free(self.share) for here in free)
+        slots = self._count_slots(service)
+        for ticket in waiting.list_ordered(slots):
             if not free:
                 return
-            here = self._choose(ticket.ask, free)
-            if here is None:
-                continue
-            waiting.note_start(ticket)
-            here.start(ticket.key, ticket.ask)
-            self.advances.note_start(here.engine)
-            self._log_grant(ticket, here)
-            grant = ask.Grant(ticket.ask.number, here.engine.name)
-            self._reply(ticket.key[0], grant)
-            if not here.count_free(self.share):
-                free.remove(here)
+            if waiting.may_start(ticket.ask.route, slots, left):
+                left -= self._try_grant(ticket, free)
 
     def decide_rollout(
         self, service: str
@@ -222,6 +213,27 @@
             for waiting in self._line_by_service.values()
         )
 
+    def _try_grant(
+        self, ticket: line.Ticket, free: list[station.Station]
+    ) -> bool:
+        here = self._choose(ticket.ask, free)
+        if here is None:
+            return False
+        self._grant(ticket, here)
+        if not here.count_free(self.share):
+            free.remove(here)
+        return True
+
+    def _grant(self, ticket: line.Ticket, here: station.Station) -> None:
+        waiting = self._line_by_service[ticket.ask.service]
+        waiting.waiting_by_key.pop(ticket.key)
+        waiting.pattern_by_route[ticket.ask.route].running += 1
+        here.start(ticket.key, ticket.ask)
+        self.advances.note_start(here.engine)
+        self._log_grant(ticket, here)
+        grant = ask.Grant(ticket.ask.number, here.engine.name)
+        self._reply(ticket.key[0], grant)
+
     def _find_outlook(self, entry: ask.Ask) -> gate.Outlook:
         waiting = self._line_by_service[entry.service]
         pattern = waiting.pattern_by_route[entry.route]
@@ -234,19 +246,19 @@
         )
 
     def _estimate_wait(self, entry: ask.Ask) -> float | None:
-        stations = [
-            here
+        slots = self._count_slots(entry.service)
+        if not slots:
+            return None
+        waiting = self._line_by_service[entry.service]
+        return waiting.estimate_wait(entry, slots)
+
+    def _count_slots(self, service: str) -> int:
+        return sum(
+            here.count_slots(self.share)
             for here in self.station_by_engine.values()
-            if here.engine.service == entry.service
+            if here.engine.service == service
             and self._view.is_usable(here.engine)
-        ]
-        if not stations:
-            return None
-        work = self._line_by_service[entry.service].estimate_work(entry)
-        if not work:
-            return 0
-        slots = sum(here.count_slots(self.share) for here in stations)
-        return work / slots
+        )
 
     def _list_free(self, service: str) -> list[station.Station]:
         return [
@@ -285,6 +297,11 @@
         cost = PACE_SECONDS * here.pace + FAILURE_SECONDS * here.failures
         if here.engine.zone != entry.zone:
             cost += ZONE_SECONDS
+        pattern = self._line_by_service[entry.service].pattern_by_route
+        run = pattern[entry.route].estimate_run(entry) * here.pace
+        if run > entry.time_left:
+            # It would not end in time here.
+            cost += OVERTIME_SECONDS
         used = len(here.run_by_key) / here.count_slots(self.share)
         return cost + CROWD_SECONDS * used
 
@@ -294,45 +311,55 @@
         run = here.end(key, report)
         entry = run.ask
         waiting = self._line_by_service[entry.service]
+        waiting.pattern_by_route[entry.route].running -= 1
         if report.outcome in ask.UNSENT_OUTCOMES:
             self._gate.refund(entry)
         elif report.outcome is ask.Outcome.cut:
             self._gate.note_break(entry, here.engine.name)
         elif report.outcome is ask.Outcome.answered:
             self._gate.note_answer(entry)
-            usual = waiting.pattern_by_route[entry.route].run_seconds
-            here.note_pace(report.total / max(usual, report.total / 4))
-            waiting.note_run(entry.route, report)
+            pattern = waiting.pattern_by_route[entry.route]
+            here.note_pace(pattern.measure_pace(report))
+            pattern.learn(entry, report)
         self.advances.note_end(here, entry, report)
         self.pump(entry.service)
 
     def _refuse(
-        self,
-        key: station.RunKey,
-        entry: ask.Ask,
-        reason: ask.Reason,
-        wait: float,
+        self, key: station.RunKey, reason: ask.Reason, wait: float
     ) -> None:
         retry = min(RETRY_CEILING_SECONDS, max(RETRY_FLOOR_SECONDS, wait))
-        self._reply(key[0], ask.Refusal(entry.number, reason, retry))
+        self._reply(key[0], ask.Refusal(key[1], reason, retry))
 
-    def _expire(self, waiting: line.Line, now: float) -> None:
-        over = [
-            ticket
-            for ticket in waiting.waiting_by_key.values()
-            if self._is_hopeless(waiting, ticket, now)
-        ]
-        for ticket in over:
+    def _expire(self, service: str, waiting: line.Line) -> None:
+        slots = self._count_slots(service)
+        for ticket, wait in waiting.list_hopeless(slots):
             waiting.waiting_by_key.pop(ticket.key)
             self._gate.refund(ticket.ask)
-            self._refuse(ticket.key, ticket.ask, ask.Reason.expired, 0)
+            self._gate.note_refusal(ticket.ask, ticket.goal)
+            self._refuse(ticket.key, ask.Reason.expired, wait)
 
-    def _is_hopeless(
-        self, waiting: line.Line, ticket: line.Ticket, now: float
-    ) -> bool:
-        run = waiting.pattern_by_route[ticket.ask.route].run_seconds
-        needed = min(run, ticket.ask.time_left) * LEAST_RUN_PART
-        return ticket.deadline - now < needed
+    def _recount(self) -> None:
+        # Counts are made anew, as back ends and nodes vanish with runs.
+        for service, waiting in self._line_by_service.items():
+            counts = collections.Counter(
+                run.ask.route
+                for here in self.station_by_engine.values()
+                for run in here.run_by_key.values()
+                if run.ask.service == service
+            )
+            for route, pattern in waiting.pattern_by_route.items():
+                pattern.running = counts[route]
+
+    def _drop_vanished(self) -> None:
+        now = clock.read_monotonic()
+        over = [
+            owner
+            for owner, end in self._vanished_by_owner.items()
+            if end <= now
+        ]
+        for owner in over:
+            self._vanished_by_owner.pop(owner)
+            self._drop_runs(owner)
 
     def _drop_runs(self, owner: str) -> None:
         for here in self.station_by_engine.values():
--- a/pimentoway/ops/gate.py
+++ b/pimentoway/ops/gate.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from pimentoway.core import deployment, log, place
+import msgspec
+
+from pimentoway.core import clock, deployment, log, place
 from pimentoway.ops import ask, crash, quota, view, window
 
 #: The part of the retry budget that is given out; the rest covers repeats
@@ -12,6 +14,13 @@
 #: Seconds after which a caller may come back when nothing better is known.
 RETRY_SECONDS = 0.15
 
+#: Seconds after its goal for which a refused request is recognized; longer
+#: than callers wait before they come back.
+RECALL_SECONDS = 6.0
+
+#: The refused requests that are remembered.
+KEPT_REFUSALS = 5000
+
 _LOG = log.Log('gate')
 
 
@@ -47,6 +56,7 @@
         self._view = known
         self._quotas = quota.QuotaBook(bounds)
         self._crashes = crash.CrashLedger()
+        self._goal_by_refused: dict[int, float] = {}
         self._asks_by_service: dict[str, window.Window] = {}
         self._repeats_by_service: dict[str, window.Window] = {}
 
@@ -76,6 +86,42 @@
             self._count(entry)
         return reason, wait
 
+    def recall(self, entry: ask.Ask) -> ask.Ask:
+        """Recognize a request that comes back after a refusal.
+
+        Its caller has waited since its first attempt, so its goal is counted
+        from then; a newcomer whose goal can still be met goes first.
+
+        Args:
+            entry: The ask.
+
+        Returns:
+            The ask with the time that is left until its goal.
+        """
+        goal = self._goal_by_refused.get(entry.fingerprint)
+        if goal is None:
+            return entry
+        left = goal - clock.read_monotonic()
+        if left < -RECALL_SECONDS:
+            self._goal_by_refused.pop(entry.fingerprint)
+            return entry
+        return msgspec.structs.replace(
+            entry,
+            goal_left=min(entry.goal_left, left),
+        )
+
+    def note_refusal(self, entry: ask.Ask, goal: float) -> None:
+        """Note that a request was refused, in case it comes back.
+
+        Args:
+            entry: The ask.
+            goal: When its goal ends.
+        """
+        refused = self._goal_by_refused
+        refused.setdefault(entry.fingerprint, goal)
+        if len(refused) > KEPT_REFUSALS:
+            refused.pop(next(iter(refused)))
+
     def refund(self, entry: ask.Ask) -> None:
         """Give back the quota of a request that did not run.
 
@@ -165,6 +211,6 @@
     if outlook.wait is None:
         return ask.Reason.no_backend, RETRY_SECONDS * 2
     needed = outlook.wait + outlook.first
-    if outlook.wait and needed > entry.time_left:
-        return ask.Reason.overloaded, outlook.wait / 2
+    if outlook.wait and needed > min(entry.time_left, entry.patience_left):
+        return ask.Reason.overloaded, outlook.wait
     return None, 0
--- a/pimentoway/ops/line.py
+++ b/pimentoway/ops/line.py
@@ -1,26 +1,47 @@
-"""The requests that wait for a slot, and in which order they get one."""
+"""The requests that wait for a slot, and in which order they get one.
+
+A run can't be interrupted, and a slot holds for as long as its run lasts. So
+what counts is the worth of an answer for each second of a slot. Requests of
+more worth go first; those of less get only the slots that the others are
+unlikely to need, but never less than a guaranteed part of what they ask for.
+"""
 
 import collections
 import dataclasses
+import math
 
 from pimentoway.core import clock
 from pimentoway.ops import ask, station
 
 #: How much more an answer of one tier is worth than one of the next tier.
-#: The tiers of the deployments seen differ by a factor of two to seven for
-#: the time of a slot.
+#: The tiers of the deployments seen differ by a factor of two to three.
 RANK_RATIO = 3.0
 
 #: What an answer after its goal is worth against one within it; the
 #: deployments seen have 0.1 and 0.5.
 LATE_PART = 0.3
 
-#: The part of requests of a route that get a slot, against that of all
-#: routes of the service, below which the route goes first.
-GUARANTEED_PART = 0.5
+#: The part of an answer's worth that does not grow with the work that its
+#: request asks for; the users value their answers so.
+FIXED_PART = 0.3
+
+#: How much more or less a request may be worth for each second of a slot than
+#: a usual one of its route; a wider range would starve the long ones.
+LARGEST_RATIO = 1.7
+
+#: The part of the slots that a route asks for that it gets whatever others
+#: ask for, and the part of all slots that this takes at the most.
+GUARANTEED_PART = 0.25
+GUARANTEED_SLOTS_PART = 0.12
 
-#: The factor by which the counts of requests and starts fade each second.
-FADING = 0.9
+#: The part of the slots that stays free for each tier that a request is
+#: below the highest, and the tiers that count.
+RESERVED_PART = 0.04
+RESERVING_TIERS = 3
+
+#: The factor by which counts of requests fade each second: bursts last for
+#: some seconds.
+FADING = 0.75
 
 #: The seconds that a run is taken to last before one was seen.
 DEFAULT_RUN_SECONDS = 0.4
@@ -31,6 +52,14 @@
 #: The part of a new sample in moving averages.
 SMOOTHING = 0.05
 
+#: The least time, in seconds, to which a run is compared, and the most that it
+#: counts against a usual one.
+LEAST_SECONDS = 0.001
+LARGEST_PACE = 4.0
+
+#: The least slots by which work is divided when a wait is estimated.
+LEAST_SLOTS = 0.1
+
 
 @dataclasses.dataclass(eq=False)
 class Ticket:
@@ -42,6 +71,7 @@
         arrived: When it came.
         goal: When its goal ends.
         deadline: When it is given up.
+        patience: When its caller leaves if nothing came.
     """
 
     key: station.RunKey
@@ -49,6 +79,7 @@
     arrived: float
     goal: float
     deadline: float
+    patience: float
 
 
 @dataclasses.dataclass
@@ -56,24 +87,122 @@
     """What is known of the requests of one route.
 
     Attributes:
+        rank: The tier of the last request.
         run_seconds: How long a run takes, on the average.
         first_seconds: How long the first event takes.
+        token_seconds: How long a token of an answer takes, as estimated
+            before; 0 while unknown.
+        size: The work that a request asks for, on the average.
+        event_seconds: How long an event of a stream takes; 0 while unknown.
         asked: The requests lately, fading.
-        started: The starts lately, fading.
+        running: The requests that run.
     """
 
+    rank: int = 0
     run_seconds: float = DEFAULT_RUN_SECONDS
     first_seconds: float = DEFAULT_FIRST_SECONDS
+    token_seconds: float = 0
+    size: float = 0
     asked: float = 0
-    started: float = 0
+    running: int = 0
+    event_seconds: float = 0
+    _tokens: float = 0
+    _rest: float = 0
+
+    def measure_load(self) -> float:
+        """Measure the slots that the requests of the route ask for.
+
+        Returns:
+            The slots, on the average of the last seconds.
+        """
+        return self.asked * -math.log(FADING) * self.run_seconds
+
+    def estimate_run(self, entry: ask.Ask) -> float:
+        """Estimate how long a request runs.
+
+        Args:
+            entry: The ask.
+
+        Returns:
+            The seconds.
+        """
+        if not self.token_seconds or not entry.output_tokens:
+            return self.run_seconds
+        return self.first_seconds + entry.output_tokens * self.token_seconds
+
+    def measure_worth(self, entry: ask.Ask, late: bool) -> float:
+        """Measure what a second of a slot is worth if a request gets it.
+
+        Args:
+            entry: The ask.
+            late: Whether the answer comes after its goal.
+
+        Returns:
+            The worth, relative to others.
+        """
+        part = LATE_PART if late else 1
+        if self.size and entry.size:
+            growing = (1 - FIXED_PART) * entry.size / self.size
+            worth = FIXED_PART + growing
+            ratio = worth * self.run_seconds / self.estimate_run(entry)
+            part *= min(max(ratio, 1 / LARGEST_RATIO), LARGEST_RATIO)
+        return part * self.measure_usual_worth()
+
+    def measure_usual_worth(self) -> float:
+        """Measure what a second of a slot is worth to a usual request.
+
+        Returns:
+            The worth, relative to others.
+        """
+        return RANK_RATIO**-self.rank / self.run_seconds
+
+    def measure_pace(self, report: ask.Report) -> float:
+        """Measure how long a run took against a usual one.
+
+        Args:
+            report: What became of the run.
+
+        Returns:
+            The ratio; 1 is usual, more is slower.
+        """
+        usual = self.run_seconds
+        if report.events:
+            usual = self.first_seconds + report.events * self.event_seconds
+        return min(report.total / max(usual, LEAST_SECONDS), LARGEST_PACE)
+
+    def learn(self, entry: ask.Ask, report: ask.Report) -> None:
+        """Learn from a whole answer.
+
+        Args:
+            entry: The ask.
+            report: What became of the run.
+        """
+        self.run_seconds += SMOOTHING * (report.total - self.run_seconds)
+        self.first_seconds += SMOOTHING * (report.first - self.first_seconds)
+        if report.events:
+            pace = (report.total - report.first) / report.events
+            known = self.event_seconds or pace
+            self.event_seconds = known + SMOOTHING * (pace - known)
+        if entry.output_tokens:
+            # Both averages fade alike, so long answers weigh more.
+            self._tokens += SMOOTHING * (entry.output_tokens - self._tokens)
+            rest = report.total - report.first
+            self._rest += SMOOTHING * (rest - self._rest)
+            self.token_seconds = self._rest / self._tokens
+
+    def count_guaranteed(self, slots: int) -> float:
+        """Count the slots that the route gets whatever others ask for.
 
-    def measure_part(self) -> float:
-        """Measure the part of the requests that got a slot.
+        Args:
+            slots: The slots of the service.
 
         Returns:
-            The part; 1 if there were none.
+            The slots.
         """
-        return self.started / self.asked if self.asked > 1 else 1.0
+        return min(
+            self.measure_load() * GUARANTEED_PART,
+            slots * GUARANTEED_SLOTS_PART,
+        )
 
 
 class Line:
@@ -92,36 +221,28 @@
         )
         self._faded = clock.read_monotonic()
 
-    def add(self, ticket: Ticket) -> None:
-        """Let a request wait.
+    def note_ask(self, entry: ask.Ask) -> None:
+        """Count a request, whether it may wait or not.
 
         Args:
-            ticket: The request.
+            entry: The ask.
         """
-        self.waiting_by_key[ticket.key] = ticket
-        self.pattern_by_route[ticket.ask.route].asked += 1
+        pattern = self.pattern_by_route[entry.route]
+        pattern.rank = entry.rank
+        if entry.size:
+            change = entry.size - (pattern.size or entry.size)
+            pattern.size = (pattern.size or entry.size) + SMOOTHING * change
+        # One that comes back late does not compete with newcomers.
+        if entry.goal_left > pattern.first_seconds:
+            pattern.asked += 1
 
-    def note_start(self, ticket: Ticket) -> None:
-        """Note that a request got a slot.
+    def add(self, ticket: Ticket) -> None:
+        """Let a request wait.
 
         Args:
             ticket: The request.
         """
-        self.waiting_by_key.pop(ticket.key, None)
-        self.pattern_by_route[ticket.ask.route].started += 1
-
-    def note_run(self, route: str, report: ask.Report) -> None:
-        """Learn from a whole answer.
-
-        Args:
-            route: The route.
-            report: What became of the run.
-        """
-        pattern = self.pattern_by_route[route]
-        pattern.run_seconds += SMOOTHING * (report.total - pattern.run_seconds)
-        pattern.first_seconds += SMOOTHING * (
-            report.first - pattern.first_seconds
-        )
+        self.waiting_by_key[ticket.key] = ticket
 
     def fade(self) -> None:
         """Let old counts fade."""
@@ -130,66 +251,115 @@
         self._faded = now
         for pattern in self.pattern_by_route.values():
             pattern.asked *= factor
-            pattern.started *= factor
 
-    def list_ordered(self) -> list[Ticket]:
+    def list_ordered(self, slots: int) -> list[Ticket]:
         """List the waiting requests, the most urgent first.
 
+        Args:
+            slots: The slots of the service.
+
         Returns:
             The requests.
         """
-        if len(self.waiting_by_key) < 2:
-            return list(self.waiting_by_key.values())
-        short = self._find_short_routes()
         now = clock.read_monotonic()
         return sorted(
             self.waiting_by_key.values(),
             key=lambda ticket: (
-                ticket.ask.route not in short,
-                -self.measure_worth(ticket.ask, ticket.goal - now),
+                not self._is_short(ticket.ask.route, slots),
+                -self._measure_worth(ticket, now),
                 ticket.goal,
             ),
         )
 
-    def measure_worth(self, entry: ask.Ask, goal_left: float) -> float:
-        """Measure what an answer is worth if the request starts now.
+    def may_start(self, route: str, slots: int, free: int) -> bool:
+        """Tell whether a route may take one more slot.
 
         Args:
-            entry: The ask.
-            goal_left: Seconds until its goal.
+            route: The route.
+            slots: The slots of the service.
+            free: The free ones among them.
 
         Returns:
-            The worth, relative to others.
+            Whether enough slots stay free for more urgent requests.
         """
-        first = self.pattern_by_route[entry.route].first_seconds
-        part = LATE_PART if first > goal_left else 1
-        return part * RANK_RATIO**-entry.rank
+        if self._is_short(route, slots):
+            return True
+        patterns = self.pattern_by_route
+        highest = min(pattern.rank for pattern in patterns.values())
+        tiers = min(patterns[route].rank - highest, RESERVING_TIERS)
+        return free > round(tiers * RESERVED_PART * slots)
+
+    def list_hopeless(self, slots: int) -> list[tuple[Ticket, float]]:
+        """List the waiting requests that won't be served in time.
+
+        Args:
+            slots: The slots of the service.
 
-    def estimate_work(self, entry: ask.Ask) -> float:
-        """Estimate the work that goes before a request.
+        Returns:
+            The requests, each with the seconds that it would wait.
+        """
+        now = clock.read_monotonic()
+        hopeless = []
+        work: float = 0
+        for ticket in self.list_ordered(slots):
+            worth = self._measure_worth(ticket, now)
+            pattern = self.pattern_by_route[ticket.ask.route]
+            wait = self._divide(work, ticket.ask.route, worth, slots)
+            if self._is_over(ticket, now + wait):
+                hopeless.append((ticket, wait))
+            else:
+                work += pattern.estimate_run(ticket.ask)
+        return hopeless
+
+    def estimate_wait(self, entry: ask.Ask, slots: int) -> float:
+        """Estimate how long a new request would wait for a slot.
 
         Args:
             entry: The ask of the request.
+            slots: The slots of the service.
 
         Returns:
-            Seconds of slots.
+            The seconds.
         """
-        worth = self.measure_worth(entry, entry.goal_left)
+        pattern = self.pattern_by_route[entry.route]
+        late = pattern.first_seconds > entry.goal_left
+        worth = pattern.measure_worth(entry, late)
         now = clock.read_monotonic()
-        return sum(
-            self.pattern_by_route[one.ask.route].run_seconds
+        work = sum(
+            self.pattern_by_route[one.ask.route].estimate_run(one.ask)
             for one in self.waiting_by_key.values()
-            if self.measure_worth(one.ask, one.goal - now) >= worth
+            if self._measure_worth(one, now) >= worth
         )
-
-    def _find_short_routes(self) -> frozenset[str]:
-        asked = sum(one.asked for one in self.pattern_by_route.values())
-        started = sum(one.started for one in self.pattern_by_route.values())
-        if not asked:
-            return frozenset()
-        floor = GUARANTEED_PART * started / asked
-        return frozenset(
-            route
-            for route, pattern in self.pattern_by_route.items()
-            if pattern.measure_part() < floor
+        return self._divide(work, entry.route, worth, slots)
+
+    def _divide(
+        self, work: float, route: str, worth: float, slots: int
+    ) -> float:
+        if not work:
+            return 0
+        # More urgent requests go on coming, and go first.
+        urgent = sum(
+            other.measure_load()
+            for other in self.pattern_by_route.values()
+            if other.measure_usual_worth() > worth
         )
+        guaranteed = self.pattern_by_route[route].count_guaranteed(slots)
+        return work / max(slots - urgent, guaranteed, LEAST_SLOTS)
+
+    def _is_short(self, route: str, slots: int) -> bool:
+        pattern = self.pattern_by_route[route]
+        return pattern.running < pattern.count_guaranteed(slots)
+
+    def _measure_worth(self, ticket: Ticket, now: float) -> float:
+        pattern = self.pattern_by_route[ticket.ask.route]
+        return pattern.measure_worth(ticket.ask, self._is_late(ticket, now))
+
+    def _is_late(self, ticket: Ticket, now: float) -> bool:
+        first = self.pattern_by_route[ticket.ask.route].first_seconds
+        return now + first > ticket.goal
+
+    def _is_over(self, ticket: Ticket, start: float) -> bool:
+        pattern = self.pattern_by_route[ticket.ask.route]
+        if start + pattern.first_seconds > ticket.patience:
+            return True
+        return start + pattern.first_seconds > ticket.deadline
--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -86,6 +86,7 @@
     split: list[_Split] = []
     timeout_ms: float = 0
     goal_ms: float = 0
+    gap_target_ms: float = 0
     priority: int = 0
     # The most back ends that one request may reach, the first included.
     max_attempts: int = 1
@@ -217,6 +218,7 @@
         attempts=max(1, raw.max_attempts),
         timeout=raw.timeout_ms / MILLISECONDS,
         goal=raw.goal_ms / MILLISECONDS,
+        gap=raw.gap_target_ms / MILLISECONDS,
         rank=raw.priority,
         public=raw.public,
         resumable=raw.resumable,
--- a/pimentoway/platform/record_test.py
+++ b/pimentoway/platform/record_test.py
@@ -4,8 +4,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
-from hypothesis import strategies
+from hypothesis import given, strategies
 
 from pimentoway.core import deployment, registry
 from pimentoway.platform import record
