--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -35,7 +35,7 @@
 
 #: Seconds after SIGTERM for which new connections are taken: the balancer
 #: asks each second and needs two misses.
-ACCEPT_SECONDS = 2.6
+ACCEPT_SECONDS = 2.3
 
 #: Seconds before the end of the grace at which the process ends.
 GRACE_MARGIN_SECONDS = 0.4
@@ -165,6 +165,8 @@
             - GRACE_MARGIN_SECONDS
         )
         _LOG.write('stops.', active=self._forwarder.active)
+        # A store that does not answer must not hold the process up.
+        gevent.spawn(self._unregister)
         for caller in self._callers:
             caller.closing = not caller.idle
         gevent.sleep(ACCEPT_SECONDS)
@@ -174,7 +176,6 @@
                 caller.closing = not caller.idle
                 caller.close_idle()
             gevent.sleep(CHECK_SECONDS)
-        self._unregister()
         _LOG.write('has stopped.', active=self._forwarder.active)
 
     def reload(self) -> None:
