--- a/pimentoway/core/eventstream_test.py
+++ b/pimentoway/core/eventstream_test.py
@@ -4,7 +4,7 @@
 
 from pimentoway.core import eventstream
 
-STREAM = b''.join(b'id: %d\ndata: piece %d\n\n' % (n, n) for n in range(1, 9))
+STREAM = b''.join(b'id: %d\ndata: piece\n\n' % number for number in range(1, 9))
 
 
 @given(strategies.lists(strategies.integers(0, len(STREAM)), max_size=9))
--- a/pimentoway/core/message_test.py
+++ b/pimentoway/core/message_test.py
@@ -32,7 +32,8 @@
     reader = message.RequestReader(LIMIT, LIMIT)
     raw = REQUEST * 2
     start = 0
-    for end in [*sorted(cuts), len(raw)]:
+    ends = [*sorted(cuts), len(raw)]
+    for end in ends:
         reader.feed(raw[start:end])
         start = end
     assert [one.body for one in reader.requests] == [b'abc', b'abc']
@@ -125,7 +126,7 @@
         message.AnswerReader().feed(b'%%%%%%')
 
 
-def test_answer_without_length_ends_with_its_connection() -> None:
+def test_answer_without_length_ends_at_the_end() -> None:
     """Only the end of the connection completes an answer without length."""
     reader = message.AnswerReader()
     reader.feed(b'HTTP/1.1 200 OK\r\n\r\nabc')
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -8,7 +8,15 @@
 import collections
 
 from pimentoway.core import clock, log, place, registry
-from pimentoway.ops import advance, ask, gate, line, station, view
+from pimentoway.ops import (
+    advance,
+    ask,
+    gate,
+    line,
+    station,
+    stationtable,
+    view,
+)
 
 #: The cost, in seconds, of a back end in another failure domain: bytes
 #: between failure domains are dear, and the way is longer.
@@ -26,10 +34,6 @@
 #: The cost, in seconds, of a back end too slow for the request to end in time.
 OVERTIME_SECONDS = 0.3
 
-#: Seconds for which the runs of a node that vanished are counted: back ends
-#: stop soon after a connection is gone.
-VANISHED_SECONDS = 1.5
-
 #: The shortest and the longest time after which a caller is asked to return.
 RETRY_FLOOR_SECONDS = 0.15
 RETRY_CEILING_SECONDS = 3.0
@@ -43,8 +47,8 @@
     """The broker of a node.
 
     Attributes:
-        share: The part of the nodes that ask here.
-        station_by_engine: The back ends.
+        stations: The back ends.
+        advances: The rollouts.
     """
 
     def __init__(
@@ -57,8 +61,7 @@
             known: The view.
             reply: Sends a grant or a refusal to a node.
         """
-        self.share = 1.0
-        self.station_by_engine: dict[str, station.Station] = {}
+        self.stations = stationtable.StationTable(known)
         self.advances = advance.AdvanceTable(bounds, known)
         self._view = known
         self._reply = reply
@@ -66,7 +69,6 @@
             line.Line,
         )
         self._gate = gate.Gate(bounds, known)
-        self._vanished_by_owner: dict[str, float] = {}
         known.follow(self._follow)
         self._follow(registry.Kind.engines)
 
@@ -111,10 +113,9 @@
                 self._gate.refund(ticket.ask)
                 self.pump(service)
                 return
-        for here in self.station_by_engine.values():
-            if key in here.run_by_key:
-                self._end_run(here, key, report)
-                return
+        here = self.stations.find(key)
+        if here:
+            self._end_run(here, key, report)
 
     def adopt(
         self, owner: str, runs: list[ask.Running], used: list[ask.Usage]
@@ -126,15 +127,7 @@
             runs: Its runs.
             used: What it used of the quotas lately.
         """
-        known = self._vanished_by_owner.pop(owner, None) is not None
-        for run in runs:
-            here = self.station_by_engine.get(run.engine)
-            key = (owner, run.ask.number)
-            if here and key not in here.run_by_key:
-                here.run_by_key[key] = station.Run(
-                    run.ask,
-                    clock.read_monotonic(),
-                )
+        known = self.stations.adopt(owner, runs)
         if known:
             # What it used was given out here.
             return
@@ -152,12 +145,11 @@
             for key in gone:
                 ticket = waiting.waiting_by_key.pop(key)
                 self._gate.refund(ticket.ask)
-        end = clock.read_monotonic() + VANISHED_SECONDS
-        self._vanished_by_owner[owner] = end
+        self.stations.note_vanished(owner)
 
     def tick(self) -> None:
         """Give up what is too late, and look at all lines again."""
-        self._drop_vanished()
+        self.stations.drop_vanished()
         self._recount()
         for service, waiting in self._line_by_service.items():
             waiting.fade()
@@ -173,9 +165,9 @@
         waiting = self._line_by_service[service]
         if not waiting.waiting_by_key:
             return
-        free = self._list_free(service)
-        left = sum(here.count_free(self.share) for here in free)
-        slots = self._count_slots(service)
+        free = self.stations.list_free(service)
+        left = sum(here.count_free(self.stations.share) for here in free)
+        slots = self.stations.count_slots(service)
         for ticket in waiting.list_ordered(slots):
             if not free:
                 return
@@ -194,12 +186,7 @@
             The rollout and what has to be reported of it, if anything.
         """
         order = self._view.rollouts_by_service[service]
-        running = sum(
-            len(here.run_by_key)
-            for here in self.station_by_engine.values()
-            if here.engine.service == service
-            and here.engine.version != order.version
-        )
+        running = self.stations.count_other_versions(service, order.version)
         return self.advances.decide(service, running)
 
     def count_waiting(self) -> int:
@@ -220,7 +207,7 @@
         if here is None:
             return False
         self._grant(ticket, here)
-        if not here.count_free(self.share):
+        if not here.count_free(self.stations.share):
             free.remove(here)
         return True
 
@@ -241,34 +228,17 @@
         return gate.Outlook(
             wait=self._estimate_wait(entry),
             first=pattern.first_seconds,
-            idle=idle and bool(self._list_free(entry.service)),
-            share=self.share,
+            idle=idle and bool(self.stations.list_free(entry.service)),
+            share=self.stations.share,
         )
 
     def _estimate_wait(self, entry: ask.Ask) -> float | None:
-        slots = self._count_slots(entry.service)
+        slots = self.stations.count_slots(entry.service)
         if not slots:
             return None
         waiting = self._line_by_service[entry.service]
         return waiting.estimate_wait(entry, slots)
 
-    def _count_slots(self, service: str) -> int:
-        return sum(
-            here.count_slots(self.share)
-            for here in self.station_by_engine.values()
-            if here.engine.service == service
-            and self._view.is_usable(here.engine)
-        )
-
-    def _list_free(self, service: str) -> list[station.Station]:
-        return [
-            here
-            for here in self.station_by_engine.values()
-            if here.engine.service == service
-            and self._view.is_usable(here.engine)
-            and here.count_free(self.share)
-        ]
-
     def _choose(
         self, entry: ask.Ask, free: list[station.Station]
     ) -> station.Station | None:
@@ -277,7 +247,7 @@
             here
             for here in free
             if here.engine.name not in entry.avoided
-            and here.bears_cold(rate, self.share)
+            and here.bears_cold(rate, self.stations.share)
             and self.advances.allows(here.engine)
         ]
         if not allowed:
@@ -302,7 +272,7 @@
         if run > entry.time_left:
             # It would not end in time here.
             cost += OVERTIME_SECONDS
-        used = len(here.run_by_key) / here.count_slots(self.share)
+        used = len(here.run_by_key) / here.count_slots(self.stations.share)
         return cost + CROWD_SECONDS * used
 
     def _end_run(
@@ -331,7 +301,7 @@
         self._reply(key[0], ask.Refusal(key[1], reason, retry))
 
     def _expire(self, service: str, waiting: line.Line) -> None:
-        slots = self._count_slots(service)
+        slots = self.stations.count_slots(service)
         for ticket, wait in waiting.list_hopeless(slots):
             waiting.waiting_by_key.pop(ticket.key)
             self._gate.refund(ticket.ask)
@@ -341,50 +311,17 @@
     def _recount(self) -> None:
         # Counts are made anew, as back ends and nodes vanish with runs.
         for service, waiting in self._line_by_service.items():
-            counts = collections.Counter(
-                run.ask.route
-                for here in self.station_by_engine.values()
-                for run in here.run_by_key.values()
-                if run.ask.service == service
-            )
+            counts = self.stations.count_running(service)
             for route, pattern in waiting.pattern_by_route.items():
                 pattern.running = counts[route]
 
-    def _drop_vanished(self) -> None:
-        now = clock.read_monotonic()
-        over = [
-            owner
-            for owner, end in self._vanished_by_owner.items()
-            if end <= now
-        ]
-        for owner in over:
-            self._vanished_by_owner.pop(owner)
-            self._drop_runs(owner)
-
-    def _drop_runs(self, owner: str) -> None:
-        for here in self.station_by_engine.values():
-            gone = [key for key in here.run_by_key if key[0] == owner]
-            for key in gone:
-                here.run_by_key.pop(key)
-
     def _follow(self, kind: registry.Kind) -> None:
         if kind is registry.Kind.engines:
-            self._follow_engines()
+            self.stations.follow()
         self.advances.follow()
         for service in list(self._line_by_service):
             self.pump(service)
 
-    def _follow_engines(self) -> None:
-        known = self._view.engines_by_name
-        for name in set(self.station_by_engine).difference(known):
-            self.station_by_engine.pop(name)
-        for name, engine in known.items():
-            here = self.station_by_engine.get(name)
-            if here is None:
-                self.station_by_engine[name] = station.Station(engine)
-            else:
-                here.update(engine)
-
     def _log_grant(self, ticket: line.Ticket, here: station.Station) -> None:
         waited = clock.read_monotonic() - ticket.arrived
         _LOG.write(
--- /dev/null
+++ b/pimentoway/ops/stationtable.py
@@ -0,0 +1,175 @@
+"""The back ends of all services as the broker sees them."""
+
+import collections
+
+from pimentoway.core import clock
+from pimentoway.ops import ask, station, view
+
+#: Seconds for which the runs of a node that vanished are counted: back ends
+#: stop soon after a connection is gone.
+VANISHED_SECONDS = 1.5
+
+
+class StationTable:
+    """The back ends.
+
+    Attributes:
+        share: The part of the nodes that ask here.
+        by_engine: The back ends by name.
+    """
+
+    def __init__(self, known: view.View) -> None:
+        """Start with what a view knows.
+
+        Args:
+            known: The view.
+        """
+        self.share: float = 1
+        self.by_engine: dict[str, station.Station] = {}
+        self._view = known
+        self._vanished_by_owner: dict[str, float] = {}
+        self.follow()
+
+    def follow(self) -> None:
+        """Follow a change of the view."""
+        known = self._view.engines_by_name
+        for name in set(self.by_engine).difference(known):
+            self.by_engine.pop(name)
+        for name, engine in known.items():
+            here = self.by_engine.get(name)
+            if here is None:
+                self.by_engine[name] = station.Station(engine)
+            else:
+                here.update(engine)
+
+    def list_usable(self, service: str) -> list[station.Station]:
+        """List the back ends of a service that may get requests.
+
+        Args:
+            service: The service.
+
+        Returns:
+            The back ends that neither leave nor are evacuated.
+        """
+        return [
+            here
+            for here in self.by_engine.values()
+            if here.engine.service == service
+            and self._view.is_usable(here.engine)
+        ]
+
+    def list_free(self, service: str) -> list[station.Station]:
+        """List the back ends of a service with free slots.
+
+        Args:
+            service: The service.
+
+        Returns:
+            The back ends.
+        """
+        return [
+            here
+            for here in self.list_usable(service)
+            if here.count_free(self.share)
+        ]
+
+    def count_slots(self, service: str) -> int:
+        """Count the slots of a service.
+
+        Args:
+            service: The service.
+
+        Returns:
+            The slots that may be used from here.
+        """
+        return sum(
+            here.count_slots(self.share) for here in self.list_usable(service)
+        )
+
+    def count_running(self, service: str) -> collections.Counter[str]:
+        """Count what runs at the back ends of a service.
+
+        Args:
+            service: The service.
+
+        Returns:
+            The runs by route.
+        """
+        return collections.Counter(
+            run.ask.route
+            for here in self.by_engine.values()
+            for run in here.run_by_key.values()
+            if run.ask.service == service
+        )
+
+    def count_other_versions(self, service: str, version: str) -> int:
+        """Count what runs at other versions of a service.
+
+        Args:
+            service: The service.
+            version: The version that is left out.
+
+        Returns:
+            The runs.
+        """
+        return sum(
+            len(here.run_by_key)
+            for here in self.by_engine.values()
+            if here.engine.service == service and here.engine.version != version
+        )
+
+    def find(self, key: station.RunKey) -> station.Station | None:
+        """Find the back end of a run.
+
+        Args:
+            key: The node and the number of the ask.
+
+        Returns:
+            The back end, if the run is known.
+        """
+        for here in self.by_engine.values():
+            if key in here.run_by_key:
+                return here
+        return None
+
+    def adopt(self, owner: str, runs: list[ask.Running]) -> bool:
+        """Take over the runs of a node.
+
+        Args:
+            owner: The node.
+            runs: Its runs.
+
+        Returns:
+            Whether the node was known here until a moment ago.
+        """
+        for run in runs:
+            here = self.by_engine.get(run.engine)
+            key = (owner, run.ask.number)
+            if here and key not in here.run_by_key:
+                started = clock.read_monotonic()
+                here.run_by_key[key] = station.Run(run.ask, started)
+        return self._vanished_by_owner.pop(owner, None) is not None
+
+    def note_vanished(self, owner: str) -> None:
+        """Note that a node is gone.
+
+        Args:
+            owner: The node.
+        """
+        end = clock.read_monotonic() + VANISHED_SECONDS
+        self._vanished_by_owner[owner] = end
+
+    def drop_vanished(self) -> None:
+        """Forget the runs of nodes that have been gone for a while."""
+        now = clock.read_monotonic()
+        over = [
+            owner
+            for owner, end in self._vanished_by_owner.items()
+            if end <= now
+        ]
+        for owner in over:
+            self._vanished_by_owner.pop(owner)
+            for here in self.by_engine.values():
+                gone = [key for key in here.run_by_key if key[0] == owner]
+                for key in gone:
+                    here.run_by_key.pop(key)
--- a/pimentoway/platform/record_test.py
+++ b/pimentoway/platform/record_test.py
@@ -1,6 +1,7 @@
 """Tests of decoding the objects of the platform's store."""
 
 import json
+import types
 
 import msgspec
 import pytest
@@ -9,36 +10,40 @@
 from pimentoway.core import deployment, registry
 from pimentoway.platform import record
 
-SERVER = {
-    'Service': 's',
-    'Address': '1.2.3.4:80',
-    'Zone': 'z',
-    'Version': 'v1',
-    'Slots': 6,
-    'State': 'ready',
-    'ColdRemainingMs': 1500,
-    'Stage': 'both',
-    'Models': [{'Name': 'm', 'Version': 1, 'Adapters': []}],
-    'Sequence': 4,
-    'born': 1785705391051,
-}
-ROUTE = {
-    'Name': 'r',
-    'Host': 'H.example',
-    'PathPrefix': '/a/',
-    'RouteKind': 'streaming',
-    'TimeoutMs': 5000,
-    'GoalMs': 500,
-    'Priority': 1,
-    'Split': [
-        {'Service': 's', 'Weight': 90},
-        {'Service': 't', 'Weight': 10},
-    ],
-    'MaxAttempts': 2,
-    'Public': False,
-    'Sticky': True,
-    'Resumable': True,
-}
+SERVER = types.MappingProxyType(
+    {
+        'Service': 's',
+        'Address': '1.2.3.4:80',
+        'Zone': 'z',
+        'Version': 'v1',
+        'Slots': 6,
+        'State': 'ready',
+        'ColdRemainingMs': 1500,
+        'Stage': 'both',
+        'Models': [{'Name': 'm', 'Version': 1, 'Adapters': []}],
+        'Sequence': 4,
+        'born': 1785705391051,
+    }
+)
+ROUTE = types.MappingProxyType(
+    {
+        'Name': 'r',
+        'Host': 'H.example',
+        'PathPrefix': '/a/',
+        'RouteKind': 'streaming',
+        'TimeoutMs': 5000,
+        'GoalMs': 500,
+        'Priority': 1,
+        'Split': [
+            {'Service': 's', 'Weight': 90},
+            {'Service': 't', 'Weight': 10},
+        ],
+        'MaxAttempts': 2,
+        'Public': False,
+        'Sticky': True,
+        'Resumable': True,
+    }
+)
 
 
 def decode(
@@ -56,7 +61,7 @@
     """
     raw = {
         'Metadata': {'Name': 'n', 'Revision': 7, 'Created': 3},
-        'Spec': spec,
+        'Spec': dict(spec),
         'Status': status,
     }
     stored = msgspec.json.decode(
@@ -115,7 +120,7 @@
         registry.Kind.configuration,
         {
             'Version': 9,
-            'Routes': [ROUTE],
+            'Routes': [dict(ROUTE)],
             'Services': [
                 {
                     'Name': 's',
@@ -174,7 +179,7 @@
 def test_split_of_a_route_follows_its_weights() -> None:
     """A hash of the request gives each service its part."""
     held = decode(
-        registry.Kind.configuration, {'Version': 1, 'Routes': [ROUTE]}
+        registry.Kind.configuration, {'Version': 1, 'Routes': [dict(ROUTE)]}
     )
     route = held.routes[0]
     chosen = [route.choose_service(f'{number:x}') for number in range(2000)]
--- a/pimentoway/platform/store_test.py
+++ b/pimentoway/platform/store_test.py
@@ -112,7 +112,7 @@
     assert set(listing.records_by_name) == {'n2'}
 
 
-def test_torn_object_in_a_watch_removes_its_record() -> None:
+def test_torn_object_in_a_watch_is_removed() -> None:
     """An entry that became unreadable names nothing any more."""
     made, _ = make_registry(
         (
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -259,8 +259,8 @@
         asking = len(self._links.link_by_owner) + (not self.slots.is_remote)
         peers = max(1, len(self.view.peers_by_name))
         share = min(1.0, max(1, asking) / peers)
-        if share != self.broker.share:
-            self.broker.share = share
+        if share != self.broker.stations.share:
+            self.broker.stations.share = share
             _LOG.write('share.', share=round(share, 3), peers=peers)
 
     def _run_ticks(self) -> None:
@@ -278,7 +278,10 @@
                 self._remove_dead()
 
     def _leads(self) -> bool:
-        return not self.slots.is_remote and self.broker.share >= LEADING_SHARE
+        return (
+            not self.slots.is_remote
+            and self.broker.stations.share >= LEADING_SHARE
+        )
 
     def _remove_dead(self) -> None:
         now = clock.read_monotonic()
