--- a/pimentoway/core/outlet.py
+++ b/pimentoway/core/outlet.py
@@ -16,8 +16,8 @@
 #: Seconds after which a line that can't be written is tried again.
 RETRY_SECONDS = 0.05
 
-#: The bytes written at once.
-BLOCK_BYTES = 16_384
+#: The bytes written at once: what a pipe takes whole or not at all.
+BLOCK_BYTES = 4096
 
 
 class Outlet:
--- a/pimentoway/ops/admission.py
+++ b/pimentoway/ops/admission.py
@@ -118,6 +118,8 @@
         left_remote = self._remote is not None
         self._remote = remote
         if not left_remote:
+            # What runs on is told to the new broker.
+            self._local.drop_owner(self.owner)
             return
         if remote is None:
             self._local.adopt(
--- a/pimentoway/ops/station.py
+++ b/pimentoway/ops/station.py
@@ -1,5 +1,6 @@
 """What the broker knows of one back end: its slots, health and pace."""
 
+import collections
 import dataclasses
 
 from pimentoway.core import clock, deployment
@@ -178,6 +179,23 @@
         self.run_by_key[key] = Run(entry, clock.read_monotonic())
         self._starts.add()
 
+    def keep_runs(
+        self, owner: str, kept: collections.abc.Container[RunKey]
+    ) -> None:
+        """Forget the runs of a node but some.
+
+        Args:
+            owner: The node.
+            kept: The runs that are kept.
+        """
+        gone = [
+            key
+            for key in self.run_by_key
+            if key[0] == owner and key not in kept
+        ]
+        for key in gone:
+            self.run_by_key.pop(key)
+
     def end(self, key: RunKey, report: ask.Report) -> Run | None:
         """Note the end of a run.
 
--- a/pimentoway/ops/stationtable.py
+++ b/pimentoway/ops/stationtable.py
@@ -133,7 +133,9 @@
         return None
 
     def adopt(self, owner: str, runs: list[ask.Running]) -> bool:
-        """Take over the runs of a node.
+        """Take over the runs of a node, and forget those that it no longer has.
+
+        What ended while the node could not tell it is in no list.
 
         Args:
             owner: The node.
@@ -142,6 +144,9 @@
         Returns:
             Whether the node was known here until a moment ago.
         """
+        kept = {(owner, run.ask.number) for run in runs}
+        for other in self.by_engine.values():
+            other.keep_runs(owner, kept)
         for run in runs:
             here = self.by_engine.get(run.engine)
             key = (owner, run.ask.number)
@@ -170,6 +175,4 @@
         for owner in over:
             self._vanished_by_owner.pop(owner)
             for here in self.by_engine.values():
-                gone = [key for key in here.run_by_key if key[0] == owner]
-                for key in gone:
-                    here.run_by_key.pop(key)
+                here.keep_runs(owner, frozenset())
