--- a/pimentoway/ops/advance.py
+++ b/pimentoway/ops/advance.py
@@ -20,14 +20,22 @@
 #: The share of a new version before it gets everything.
 RAMP_SHARE = 0.3
 
-#: The good answers that a version needs before its share is raised.
-TRIAL_ANSWERS = 30
+#: The part of the allowed slack that a new version gets at once, so that
+#: services with few requests see it too.
+TRIAL_SLACK_PART = 0.4
+
+#: The good answers that a version needs before its share is raised, and
+#: before it gets everything; after a while few are enough where there are few.
+RAMP_ANSWERS = 15
+MOVE_ANSWERS = 30
+LEAST_ANSWERS = 5
 
 #: The parts of the promised time at which the share may be raised first, at
 #: which the version may get everything, and at which it is completed even
 #: though the old version is still at work.
 RAMP_PART = 0.4
 MOVE_PART = 0.55
+FEW_PART = 0.7
 LAST_PART = 0.9
 
 #: Seconds for which a version carries everything before it is complete.
@@ -40,6 +48,9 @@
 #: Seconds after its start in which a back end may be slow.
 WARMING_SECONDS = 4.0
 
+#: Stands for all routes of a service together.
+ALL_ROUTES = ''
+
 #: The part of a new sample in the moving averages.
 SMOOTHING = 0.05
 
@@ -79,6 +90,7 @@
     Attributes:
         order: The order.
         started: When the broker first saw it.
+        slack: The requests that the new version gets in addition.
         share: The share that the new version has.
         moved: When it got everything; 0 before.
         starts: The requests to the service since the order.
@@ -90,6 +102,7 @@
 
     order: deployment.Rollout
     started: float
+    slack: float = 0
     share: float = 0
     moved: float = 0
     starts: int = 0
@@ -117,7 +130,8 @@
         Returns:
             Whether it may get one more request.
         """
-        return self.new_starts + 1 <= self.share * (self.starts + 1)
+        allowed = self.share * (self.starts + 1) + self.slack
+        return self.new_starts + 1 <= allowed
 
     def count_good(self) -> int:
         """Count the good answers of the new version.
@@ -127,8 +141,8 @@
         """
         return sum(
             tally.count.good
-            for (new, _), tally in self.tally_by_subject.items()
-            if new
+            for (new, route), tally in self.tally_by_subject.items()
+            if new and route == ALL_ROUTES
         )
 
 
@@ -158,7 +172,9 @@
                 held.order = order
             else:
                 self._advance_by_service[service] = Advance(
-                    order, clock.read_monotonic()
+                    order,
+                    clock.read_monotonic(),
+                    self._bounds.exposure_slack * TRIAL_SLACK_PART,
                 )
         versions: dict[str, set[str]] = {}
         for engine in self._view.engines_by_name.values():
@@ -289,6 +305,13 @@
         return bool(usual) and pace > SLOW_RATIO * usual
 
     def _count(self, held: Advance, route: str, new: bool, bad: bool) -> None:
+        # A version may be bad on one route or a little on all of them.
+        self._count_subject(held, route, new, bad)
+        self._count_subject(held, ALL_ROUTES, new, bad)
+
+    def _count_subject(
+        self, held: Advance, route: str, new: bool, bad: bool
+    ) -> None:
         tally = held.find_tally(new, route)
         news = verdict.Count(int(not bad), int(bad))
         tally.count.good += news.good
@@ -330,9 +353,10 @@
     def _find_share(self, held: Advance) -> float:
         part = (clock.read_monotonic() - held.started) / held.order.seconds
         good = held.count_good()
-        if part >= MOVE_PART and good >= TRIAL_ANSWERS * 2:
+        needed = LEAST_ANSWERS if part >= FEW_PART else MOVE_ANSWERS
+        if part >= MOVE_PART and good >= needed:
             return 1
-        if part >= RAMP_PART and good >= TRIAL_ANSWERS:
+        if part >= RAMP_PART and good >= RAMP_ANSWERS:
             return RAMP_SHARE
         return self._bounds.exposure_share * TRIAL_PART
 
