--- a/pimentoway/callers/connection.py
+++ b/pimentoway/callers/connection.py
@@ -99,6 +99,9 @@
     def close_idle(self) -> None:
         """Close the connection unless something came on it."""
         if self.idle and not connection.is_readable(self._sock):
+            # Its task ends only when it runs again.
+            self.idle = False
+            self.closing = True
             self._sock.close()
 
     def write(self, block: bytes) -> None:
@@ -199,7 +202,7 @@
         gevent.kill(task, CallerGoneError('it closed'))
 
     def _note_end(self, fault: Exception) -> None:
-        if not self.idle:
+        if not (self.idle or self.closing):
             _LOG.write('a caller left.', peer=self.peer, reason=str(fault))
 
     def _answer_error(self, fault: message.MessageError) -> None:
--- a/pimentoway/tools/edge_process_test.py
+++ b/pimentoway/tools/edge_process_test.py
@@ -545,6 +545,17 @@
     assert idle.recv(1) == b''
 
 
+def test_idle_connection_is_closed_once() -> None:
+    """A node that stops looks again at connections that it has closed."""
+    site = Site(platform_engine.PlatformEngine('e1'))
+    idle = site.connect()
+    gevent.sleep(0.05)
+    caller = next(iter(site.node._callers))
+    caller.close_idle()
+    caller.close_idle()
+    assert idle.recv(1) == b''
+
+
 def test_old_configuration_never_returns() -> None:
     """A late reader's old configuration is passed over."""
     site = Site(platform_engine.PlatformEngine('e1'))
