--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -9,7 +9,14 @@
 import xxhash
 from gevent import event as gevent_event
 
-from pimentoway.core import deployment, error, log, place, registry
+from pimentoway.core import (
+    clock,
+    deployment,
+    error,
+    log,
+    place,
+    registry,
+)
 from pimentoway.nodes import frame, link
 from pimentoway.ops import admission, ask, view
 
@@ -20,6 +27,13 @@
 #: should be reachable.
 HURRY_SECONDS = 0.25
 
+#: The nodes of a failure domain that watch the store: more than one, as the
+#: store may turn some nodes away without a word.
+ZONE_WATCHERS = 2
+
+#: Seconds after its start in which a node waits for another to tell it.
+JOIN_SECONDS = 0.3
+
 _LOG = log.Log('election')
 
 
@@ -64,6 +78,7 @@
         self._boot = boot
         self._view = known
         self._slots = slots
+        self._started = clock.read_monotonic()
         self._link: link.Link | None = None
         self._changed = gevent_event.Event()
         known.follow(self._follow)
@@ -77,6 +92,28 @@
         """
         return self._link.peer if self._link else self._here.name
 
+    def watches_store(self) -> bool:
+        """Tell whether this node asks the store about changes.
+
+        Each change wakes every watch, so only some nodes watch: the broker,
+        the first nodes of each failure domain, and any node that is linked
+        to no other. They tell the rest.
+
+        Returns:
+            Whether it does.
+        """
+        if self._link is None:
+            # A node that just started may learn all from another at once.
+            age = clock.read_monotonic() - self._started
+            return age > JOIN_SECONDS or not self._list_seeds()
+        neighbours = [
+            peer
+            for peer in self._view.peers_by_name.values()
+            if peer.zone == self._here.zone
+        ]
+        first = order_peers(neighbours)[:ZONE_WATCHERS]
+        return not first or self._here.name in {peer.name for peer in first}
+
     def run(self) -> None:
         """Look for the best broker for ever."""
         while True:
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -62,23 +62,29 @@
 
     Attributes:
         kind: The kind.
+        after: The revision up to which they are known.
     """
 
     kind: str
+    after: int
 
 
 class Records(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """The records of a kind.
+    """The records of a kind, or those that changed.
 
     Attributes:
         kind: The kind.
         revision: The revision of the store that they follow.
         packed: The records by name, encoded.
+        removed: The records that are gone.
+        whole: Whether all records are there, not only those that changed.
     """
 
     kind: str
     revision: int
     packed: bytes
+    removed: list[str]
+    whole: bool
 
 
 Message = (
@@ -109,40 +115,65 @@
     return len(packed).to_bytes(LENGTH_BYTES, 'big') + packed
 
 
-def pack_records(snapshot: view.Snapshot) -> Records:
-    """Encode all records of a kind.
+def pack_records(known: view.View, kind: registry.Kind, after: int) -> Records:
+    """Encode the records of a kind that another node lacks.
 
     Args:
-        snapshot: The records.
+        known: What is known here.
+        kind: The kind.
+        after: The revision up to which the other node knows them.
 
     Returns:
         The message that carries them.
     """
-    packed = _ENCODER.encode(snapshot.records_by_name)
-    return Records(snapshot.kind.value, snapshot.revision, packed)
-
-
-def unpack_records(content: Records) -> view.Snapshot:
-    """Decode the records of a kind.
+    changes = known.list_changes(kind, after)
+    if changes is None:
+        snapshot = known.make_snapshot(kind)
+        packed = _ENCODER.encode(snapshot.records_by_name)
+        return Records(kind.value, snapshot.revision, packed, [], whole=True)
+    records_by_name = {one.name: one.record for one in changes.changes}
+    removed = [
+        name for name, record in records_by_name.items() if record is None
+    ]
+    for name in removed:
+        records_by_name.pop(name)
+    packed = _ENCODER.encode(records_by_name)
+    return Records(kind.value, changes.revision, packed, removed, whole=False)
+
+
+def take_records(content: Records, known: view.View, source: str) -> None:
+    """Take in the records that another node sent.
 
     Args:
         content: The message.
-
-    Returns:
-        The records.
+        known: What is known here.
+        source: The other node.
 
     Raises:
         NodeError: If they can't be decoded.
     """
     try:
         kind = registry.Kind(content.kind)
-        records = msgspec.msgpack.decode(
+        records_by_name = msgspec.msgpack.decode(
             content.packed,
             type=dict[str, TYPES_BY_KIND[kind]],
         )
     except (msgspec.MsgspecError, ValueError) as fault:
         raise error.NodeError(f'bad records: {fault}', 'decode') from fault
-    return view.Snapshot(kind, content.revision, records)
+    if content.whole:
+        snapshot = view.Snapshot(kind, content.revision, records_by_name)
+        known.take_snapshot(snapshot, source)
+        return
+    changes = [
+        registry.Change(name, record)
+        for name, record in records_by_name.items()
+    ]
+    changes.extend(registry.Change(name, None) for name in content.removed)
+    known.take_changes(
+        kind,
+        registry.Changes(content.revision, tuple(changes)),
+        source,
+    )
 
 
 class FrameReader:
--- a/pimentoway/nodes/link.py
+++ b/pimentoway/nodes/link.py
@@ -138,9 +138,9 @@
             self._compare(content)
         elif isinstance(content, frame.Want):
             kind = registry.Kind(content.kind)
-            self.send(frame.pack_records(self._view.make_snapshot(kind)))
+            self.send(frame.pack_records(self._view, kind, content.after))
         elif isinstance(content, frame.Records):
-            self._view.take_snapshot(frame.unpack_records(content), self.peer)
+            frame.take_records(content, self._view, self.peer)
         else:
             return False
         return True
@@ -152,7 +152,8 @@
             asked = self._wanted_by_kind.get(kind.value, float('-inf'))
             if behind and now - asked >= WANT_SECONDS:
                 self._wanted_by_kind[kind.value] = now
-                self.send(frame.Want(kind.value))
+                known = self._view.revision_by_kind[kind]
+                self.send(frame.Want(kind.value, known))
 
 
 def open_link(address: str, peer: str, known: view.View) -> Link:
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -22,8 +22,9 @@
 #: between failure domains are dear, and the way is longer.
 ZONE_SECONDS = 0.06
 
-#: The cost, in seconds, of a back end that is twice as slow as usual.
-PACE_SECONDS = 0.05
+#: The part of the time of a run that counts as cost: a long run gains most
+#: from a fast back end.
+PACE_PART = 0.1
 
 #: The cost, in seconds, of a back end that fails all requests.
 FAILURE_SECONDS = 0.6
@@ -264,12 +265,13 @@
         return found.cold_rate if found else 0
 
     def _measure_cost(self, entry: ask.Ask, here: station.Station) -> float:
-        cost = PACE_SECONDS * here.pace + FAILURE_SECONDS * here.failures
+        cost = FAILURE_SECONDS * here.failures
         if here.engine.zone != entry.zone:
             cost += ZONE_SECONDS
         pattern = self._line_by_service[entry.service].pattern_by_route
-        run = pattern[entry.route].estimate_run(entry) * here.pace
-        if run > entry.time_left:
+        run = pattern[entry.route].estimate_run(entry)
+        cost += PACE_PART * run * here.pace
+        if run * here.pace > entry.time_left:
             # It would not end in time here.
             cost += OVERTIME_SECONDS
         used = len(here.run_by_key) / here.count_slots(self.stations.share)
--- a/pimentoway/ops/follow.py
+++ b/pimentoway/ops/follow.py
@@ -1,5 +1,6 @@
 """Follows the registry: one task for each kind, by listing and watching."""
 
+import collections
 import random
 
 import gevent
@@ -18,6 +19,9 @@
 #: in which a change has to be in force.
 LONGEST_RETRY_SECONDS = 0.8
 
+#: Seconds between looks at whether this node has to ask the store.
+LOOK_SECONDS = 0.1
+
 _LOG = log.Log('follow')
 
 
@@ -28,13 +32,21 @@
         connected_by_kind: Whether the last call for each kind succeeded.
     """
 
-    def __init__(self, source: registry.Registry, known: view.View) -> None:
+    def __init__(
+        self,
+        source: registry.Registry,
+        known: view.View,
+        watches: collections.abc.Callable[[], bool],
+    ) -> None:
         """Follow a registry.
 
         Args:
             source: The registry.
             known: The view.
+            watches: Tells whether this node asks the store; if not, it
+                learns from other nodes.
         """
+        self._watches = watches
         self.connected_by_kind = dict.fromkeys(registry.Kind, False)
         self._source = source
         self._view = known
@@ -48,6 +60,11 @@
         pause = RETRY_SECONDS
         listed = False
         while True:
+            if not self._watches():
+                # What others tell is newer than any listing made before.
+                listed = self._view.revision_by_kind[kind] > 0
+                gevent.sleep(LOOK_SECONDS)
+                continue
             try:
                 listed = self._step(kind, listed)
             except error.WatchExpiredError as fault:
--- a/pimentoway/ops/line.py
+++ b/pimentoway/ops/line.py
@@ -262,13 +262,14 @@
             The requests.
         """
         now = clock.read_monotonic()
+        short = {
+            route
+            for route in self.pattern_by_route
+            if self._is_short(route, slots)
+        }
         return sorted(
             self.waiting_by_key.values(),
-            key=lambda ticket: (
-                not self._is_short(ticket.ask.route, slots),
-                -self._measure_worth(ticket, now),
-                ticket.goal,
-            ),
+            key=lambda ticket: self._make_key(ticket, now, short),
         )
 
     def may_start(self, route: str, slots: int, free: int) -> bool:
@@ -332,6 +333,18 @@
         )
         return self._divide(work, entry.route, worth, slots)
 
+    def _make_key(
+        self, ticket: Ticket, now: float, short: set[str]
+    ) -> tuple[bool, float, float]:
+        route = ticket.ask.route
+        if route not in short:
+            return True, -self._measure_worth(ticket, now), ticket.goal
+        # The guaranteed part is for all of a route, long ones included.
+        worth = self.pattern_by_route[route].measure_usual_worth()
+        if self._is_late(ticket, now):
+            worth *= LATE_PART
+        return False, -worth, ticket.goal
+
     def _divide(
         self, work: float, route: str, worth: float, slots: int
     ) -> float:
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -15,6 +15,9 @@
 #: although their back ends live.
 TROUBLE_SECONDS = 3.0
 
+#: The changes of each kind that are kept for nodes that are a little behind.
+KEPT_CHANGES = 64
+
 #: The kinds whose changes are logged.
 LOGGED_KINDS = frozenset(registry.Kind) - {registry.Kind.peers}
 
@@ -55,6 +58,10 @@
             kind: {} for kind in registry.Kind
         }
         self._lapsed_by_name: dict[str, float] = {}
+        self._history_by_kind: dict[registry.Kind, collections.deque] = {
+            kind: collections.deque(maxlen=KEPT_CHANGES)
+            for kind in registry.Kind
+        }
         self._followers: list[Follower] = []
         self._trouble = float('-inf')
 
@@ -163,6 +170,29 @@
         records = dict(self._records_by_kind[kind])
         return Snapshot(kind, self.revision_by_kind[kind], records)
 
+    def list_changes(
+        self, kind: registry.Kind, after: int
+    ) -> registry.Changes | None:
+        """List the changes of a kind after a revision.
+
+        Args:
+            kind: The kind.
+            after: The revision.
+
+        Returns:
+            The changes; nothing if they are no longer known.
+        """
+        history = self._history_by_kind[kind]
+        if not history or history[0][0] > after:
+            return None
+        later = [
+            change
+            for _, changes in history
+            if changes.revision > after
+            for change in changes.changes
+        ]
+        return registry.Changes(self.revision_by_kind[kind], tuple(later))
+
     def take_changes(
         self, kind: registry.Kind, changes: registry.Changes, source: str
     ) -> None:
@@ -173,8 +203,10 @@
             changes: The changes.
             source: Who told them.
         """
-        if changes.revision < self.revision_by_kind[kind]:
+        before = self.revision_by_kind[kind]
+        if changes.revision < before:
             return
+        self._history_by_kind[kind].append((before, changes))
         self.revision_by_kind[kind] = changes.revision
         for change in changes.changes:
             self._apply(kind, change, source)
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -224,7 +224,7 @@
     """
     known = view.View()
     source = ScriptedRegistry(*answers)
-    follower = follow.Follower(source, known)
+    follower = follow.Follower(source, known, lambda: True)
     gevent.spawn(follower.run, Kind.engines)
     paused_loop.advance(10)
     return known, source
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -114,7 +114,11 @@
         self._election = election.Election(
             here, self._boot, self.view, self.slots
         )
-        self._follower = follow.Follower(platform.registry, self.view)
+        self._follower = follow.Follower(
+            platform.registry,
+            self.view,
+            self._election.watches_store,
+        )
         self._channels = channel.ChannelPool(platform.dialect)
         self._forwarder = forward.Forwarder(
             here.zone,
