Put a request's history together from the logs of many nodes

What the logs could not answer and do now: why the broker refused, and which of its lines belong to a request.

--- a/conftest.py
+++ b/conftest.py
@@ -1,10 +1,22 @@
 """The clock of the tests: paused, unless real processes are tested."""
 
+import collections
 import os
 
 import gevent
+import pytest
 
 from pimentoway.standin import paused_loop
 
-if os.environ.get('PIMENTOWAY_TEST_CLOCK') != 'real':
+PAUSED = os.environ.get('PIMENTOWAY_TEST_CLOCK') != 'real'
+
+if PAUSED:
     gevent.config.loop = paused_loop.LOOP_PATH
+
+
+@pytest.fixture(autouse=True)
+def _end_tasks() -> collections.abc.Iterator[None]:
+    # A task that a test left would run again and again in later tests.
+    yield
+    if PAUSED:
+        paused_loop.restart_tasks(1)
--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -178,7 +178,7 @@
         prompt = served.request.prompt or call.Prompt()
         customer = served.customer
         entry = ask.Ask(
-            number=0,
+            number=self._slots.make_number(),
             service=served.service,
             route=served.route.name,
             zone=self._zone,
@@ -195,7 +195,8 @@
             repeats=served.repeats,
             avoided=served.avoided,
         )
-        entry, name = self._slots.admit(entry)
+        served.numbers = (*served.numbers, entry.number)
+        name = self._slots.admit(entry)
         served.waited += clock.read_monotonic() - now
         engine = self._view.engines_by_name.get(name)
         if engine is None or not self._view.is_usable(engine):
@@ -245,6 +246,8 @@
             limit=round(served.deadline - served.arrived, 3),
             goal=served.route.goal,
             remote=self._slots.is_remote,
+            owner=self._slots.owner,
+            numbers=served.numbers,
             configuration=held.version if held else 0,
         )
 
--- a/pimentoway/callers/job.py
+++ b/pimentoway/callers/job.py
@@ -32,6 +32,7 @@
         waited: Seconds for which it waited for slots.
         first: Seconds until the first event or the answer.
         engine: The last back end.
+        numbers: The numbers of its asks, which the broker's log lines carry.
     """
 
     request: call.CallerRequest
@@ -51,6 +52,7 @@
     waited: float = 0
     first: float = 0
     engine: str = ''
+    numbers: tuple[int, ...] = ()
 
     def may_run_again(self) -> bool:
         """Tell whether the request may run at one more back end.
--- a/pimentoway/ops/admission.py
+++ b/pimentoway/ops/admission.py
@@ -136,17 +136,24 @@
         for pending in waiting:
             self._resubmit(pending)
 
-    def admit(self, entry: ask.Ask) -> tuple[ask.Ask, str]:
+    def make_number(self) -> int:
+        """Make a number for an ask.
+
+        Returns:
+            The number, unique within this run of the node.
+        """
+        return next(self._numbers)
+
+    def admit(self, entry: ask.Ask) -> str:
         """Ask for a slot and wait for the reply.
 
         Args:
-            entry: The ask, without a number.
+            entry: The ask, numbered by ``make_number``.
 
         Returns:
-            The ask with its number, and the name of the back end.
+            The name of the back end.
         """
-        number = next(self._numbers)
-        entry = msgspec.structs.replace(entry, number=number)
+        number = entry.number
         pending = _Pending(
             entry,
             clock.read_monotonic(),
@@ -164,7 +171,7 @@
             if not granted:
                 self._withdraw(pending)
         self._note_grant(entry, reply.engine)
-        return entry, reply.engine
+        return reply.engine
 
     def report(self, report: ask.Report) -> None:
         """Tell what became of a grant.
--- a/pimentoway/ops/admission_test.py
+++ b/pimentoway/ops/admission_test.py
@@ -70,6 +70,27 @@
         )
         self.slots.switch(self.send)
 
+    def admit(self) -> ask.Ask:
+        """Get a slot.
+
+        Returns:
+            The ask that was granted.
+        """
+        entry = self.number()
+        self.slots.admit(entry)
+        return entry
+
+    def number(self) -> ask.Ask:
+        """Number an ask.
+
+        Returns:
+            The ask.
+        """
+        return msgspec.structs.replace(
+            ENTRY,
+            number=self.slots.make_number(),
+        )
+
     def count_free(self, where: broker.Broker) -> int:
         """Count the free slots that a broker sees.
 
@@ -100,7 +121,7 @@
     """Reset links: what ended meanwhile holds no slot afterwards."""
     pair = Pair()
     pair.attach()
-    entry, _ = pair.slots.admit(ENTRY)
+    entry = pair.admit()
     pair.remote.drop_owner(OWNER)
     pair.slots.switch(None)
     end(pair, entry)
@@ -112,7 +133,7 @@
 def test_runs_that_go_on_are_taken_over() -> None:
     """Lost broker: the next one counts what still runs."""
     pair = Pair()
-    entry, _ = pair.slots.admit(ENTRY)
+    entry = pair.admit()
     assert pair.count_free(pair.local) == 1
     pair.attach()
     assert pair.count_free(pair.remote) == 1
@@ -128,21 +149,21 @@
     pair = Pair()
     pair.attach()
     pair.lost = True
-    task = gevent.spawn(pair.slots.admit, ENTRY)
+    task = gevent.spawn(pair.slots.admit, pair.number())
     gevent.idle()
     assert not task.ready()
     pair.lost = False
     pair.slots.switch(None)
     gevent.idle()
-    assert task.get(timeout=1)[1] == 'e0'
+    assert task.get(timeout=1) == 'e0'
 
 
 def test_caller_that_leaves_withdraws_its_ask() -> None:
     """A caller that leaves while it waits holds no place."""
     pair = Pair()
     for _ in range(2):
-        pair.slots.admit(ENTRY)
-    task = gevent.spawn(pair.slots.admit, ENTRY)
+        pair.admit()
+    task = gevent.spawn(pair.slots.admit, pair.number())
     gevent.idle()
     assert pair.local.count_waiting() == 1
     task.kill()
@@ -154,7 +175,7 @@
     pair = Pair()
     pair.lost = True
     pair.slots.switch(pair.send)
-    task = gevent.spawn(pair.slots.admit, ENTRY)
+    task = gevent.spawn(pair.slots.admit, pair.number())
     load.play(5)
     with pytest.raises(error.ExpiredError):
         task.get(timeout=0)
@@ -176,7 +197,7 @@
     """Each refusal is an error that says so and when to come back."""
     pair = Pair()
     pair.slots.switch(lambda content: None)
-    task = gevent.spawn(pair.slots.admit, ENTRY)
+    task = gevent.spawn(pair.slots.admit, pair.number())
     gevent.idle()
     pair.slots.take(ask.Refusal(1, reason, 0.7))
     gevent.idle()
@@ -189,10 +210,9 @@
 def test_usage_counts_what_was_granted() -> None:
     """A new broker learns what the node used of its quotas."""
     pair = Pair()
-    entry, _ = pair.slots.admit(ENTRY)
+    entry = pair.admit()
     assert pair.slots.list_usage() == [ask.Usage('c', 10)]
     pair.slots.report(ask.Report(entry.number, ask.Outcome.unused))
     assert not pair.slots.list_usage()
-    message = msgspec.structs.replace(ENTRY, customer='')
-    pair.slots.admit(message)
+    pair.slots.admit(msgspec.structs.replace(pair.number(), customer=''))
     assert not pair.slots.list_usage()
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -300,6 +300,16 @@
         self, key: station.RunKey, reason: ask.Reason, wait: float
     ) -> None:
         retry = min(RETRY_CEILING_SECONDS, max(RETRY_FLOOR_SECONDS, wait))
+        _LOG.write(
+            'refused.',
+            owner=key[0],
+            number=key[1],
+            reason=reason.name,
+            estimated=round(wait, 3),
+            retry_after=round(retry, 3),
+            waiting=self.count_waiting(),
+            share=round(self.stations.share, 3),
+        )
         self._reply(key[0], ask.Refusal(key[1], reason, retry))
 
     def _expire(self, service: str, waiting: line.Line) -> None:
--- a/pimentoway/tools/command.py
+++ b/pimentoway/tools/command.py
@@ -27,7 +27,7 @@
 from pimentoway.objects import client, head
 from pimentoway.ops import rollout
 from pimentoway.parser import declaration, ini, setting
-from pimentoway.tools import controller, entry
+from pimentoway.tools import controller, entry, history
 
 #: The version of the program.
 VERSION = metadata.version('pimentoway')
@@ -279,6 +279,32 @@
         return 0 if hops else _FAILED
 
 
+class HistoryCommand(CheckedCommand):
+    """Shows what the logs of many nodes say of one request."""
+
+    name = 'history'
+    description = 'Shows what log files say of one request.'
+    arguments = [
+        helpers.argument('request', 'The identifier of the request.'),
+        helpers.argument('files', 'The log files.', multiple=True),
+    ]
+
+    def work(self) -> int:
+        """Show the history.
+
+        Returns:
+            The exit status.
+        """
+        steps = []
+        for name in self.argument('files'):
+            text = pathlib.Path(name).read_text(errors='replace')
+            steps.extend(history.read_steps(text.splitlines()))
+        found = history.find_history(steps, self.argument('request'))
+        for step in found:
+            self.line(history.format_step(step))
+        return 0 if found else _FAILED
+
+
 class ZoneCommand(CheckedCommand):
     """Takes a failure domain out or brings it back."""
 
@@ -403,6 +429,7 @@
         ShowCommand,
         StatusCommand,
         TraceCommand,
+        HistoryCommand,
         ZoneCommand,
         RolloutCommand,
         KeyCommand,
