Let the best node use its own broker after it began with a seed

Cause: a node that started before it knew others was linked to a seed. The test of the election failed first.

--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -120,26 +120,49 @@
             self._changed.clear()
             better = self._list_better()
             reached = self._reach(better)
+            if not reached and self._is_best_reached():
+                self._leave()
             hurry = better and not reached and self._link is None
             self._changed.wait(HURRY_SECONDS if hurry else LOOK_SECONDS)
 
     def _list_better(self) -> list[deployment.Peer]:
-        here = deployment.Peer(
+        # Those that go before this node, up to the one that is asked.
+        before = self._list_before()
+        names = [peer.name for peer in before]
+        if self.broker_name in names:
+            return before[: names.index(self.broker_name)]
+        if not before and not self._view.peers_by_name:
+            return self._list_seeds()
+        return before
+
+    def _list_before(self) -> list[deployment.Peer]:
+        peers_by_name = dict(self._view.peers_by_name)
+        if not peers_by_name:
+            return []
+        peers_by_name[self._here.name] = deployment.Peer(
             self._here.name,
             self._here.zone,
             self._here.peers,
             self._here.cores,
         )
-        peers_by_name = dict(self._view.peers_by_name)
-        if not peers_by_name:
-            return self._list_seeds()
-        peers_by_name[here.name] = here
-        better = []
-        for peer in order_peers(list(peers_by_name.values())):
-            if peer.name in {here.name, self.broker_name}:
-                break
-            better.append(peer)
-        return better
+        ordered = order_peers(list(peers_by_name.values()))
+        names = [peer.name for peer in ordered]
+        return ordered[: names.index(self._here.name)]
+
+    def _is_best_reached(self) -> bool:
+        # A link to a node that does not go before this one was made while
+        # little was known, to a seed.
+        if self._link is None or not self._view.peers_by_name:
+            return False
+        names = {peer.name for peer in self._list_before()}
+        return self.broker_name not in names
+
+    def _leave(self) -> None:
+        left = self._link
+        self._link = None
+        _LOG.write('uses its own broker.', left=left.peer)
+        self._slots.switch(None)
+        left.close()
 
     def _list_seeds(self) -> list[deployment.Peer]:
         if self._link:
