--- a/pimentoway/ops/advance_test.py
+++ b/pimentoway/ops/advance_test.py
@@ -37,6 +37,7 @@
         states: What was decided, in order.
         new_starts: The requests that the new version got.
         starts: All requests.
+        away: Whether what is decided can't be reported.
     """
 
     def __init__(self, order: deployment.Rollout = ORDER) -> None:
@@ -45,6 +46,7 @@
         Args:
             order: The order.
         """
+        self.away = False
         self.known = view.View()
         self.table = advance.AdvanceTable(place.Bounds(), self.known)
         self.states: list[advance.State] = []
@@ -114,6 +116,8 @@
             return
         order, state = decided[0].order, decided[1]
         self.states.append(state)
+        if self.away:
+            return
         self._change(
             registry.Kind.rollouts,
             's',
@@ -177,7 +181,9 @@
 def test_condemned_version_gets_nothing_more() -> None:
     """Between the verdict and its report no request goes there."""
     rollout = Rollout()
+    rollout.away = True
     rollout.run(ORDER.seconds, bad_part=1)
+    assert rollout.states[-1] is advance.State.reverted
     before = rollout.new_starts
     rollout.run(3)
     assert rollout.new_starts == before
--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -125,6 +125,37 @@
     assert draft.timely > 3 * draft.late
 
 
+def test_newcomer_goes_before_a_late_return() -> None:
+    """Returns after refusals: the goal counts from the first attempt."""
+    world = load.World(speeds=())
+    replies = []
+    world.broker._reply = lambda owner, reply: replies.append(reply)
+    late = make_ask(1, fingerprint=7, goal_left=0.5)
+    world.broker.submit('other/1', late)
+    assert replies.pop().reason is ask.Reason.no_backend
+    load.play(0.6)
+    world.add_engine('e0', 1, 1)
+    world.broker.submit('other/1', make_ask(2, goal_left=0.5))
+    world.broker.submit('other/1', msgspec.structs.replace(late, number=3))
+    world.broker.submit('other/1', make_ask(4, goal_left=0.5))
+    world.broker.finish('other/1', ask.Report(2, ask.Outcome.answered))
+    assert [reply.number for reply in replies] == [2, 4]
+
+
+def test_last_slots_are_kept_for_urgent_requests() -> None:
+    """Many long answers of a low tier: an urgent request starts at once."""
+    world = load.World(speeds=(1,), slots=25)
+    replies = []
+    world.broker._reply = lambda owner, reply: replies.append(reply)
+    world.broker.submit('other/1', make_ask(0, route='draft'))
+    for number in range(1, 31):
+        entry = make_ask(number, route='digest', rank=2)
+        world.broker.submit('other/1', entry)
+    assert len(replies) == 23
+    world.broker.submit('other/1', make_ask(99, route='draft'))
+    assert replies[-1].number == 99
+
+
 def test_refusals_come_early() -> None:
     """Overload: most refusals come before half a second has passed."""
     world = load.World()
--- /dev/null
+++ b/pimentoway/tools/edge_guard.py
@@ -0,0 +1,271 @@
+"""The guards of the path on the users' platform."""
+
+from pimentoway.tools import guard_text
+
+_EDGE = 'pimentoway/tools/edge_process_test.py'
+_BROKER = 'pimentoway/ops/broker_test.py'
+_REAL = 'real'
+
+GUARDS = (
+    guard_text.Guard(
+        'the body of a request has one length',
+        'core/message.py',
+        'if codings and [one.lower() for one in codings] != [_CHUNKED]:',
+        'if False:',
+        'pimentoway/core/message_test.py',
+    ),
+    guard_text.Guard(
+        'trailers are no headers',
+        'core/message.py',
+        (
+            '        if not current.headed:\n'
+            '            current.headers.append((name, text))\n'
+            '\n'
+            '    def on_headers_complete(self) -> None:\n'
+            '        """End the head."""\n'
+            '        current = self.requests[-1]'
+        ),
+        (
+            '        current.headers.append((name, text))\n'
+            '\n'
+            '    def on_headers_complete(self) -> None:\n'
+            '        """End the head."""\n'
+            '        current = self.requests[-1]'
+        ),
+        'pimentoway/core/message_test.py',
+    ),
+    guard_text.Guard(
+        'reserved headers are dropped',
+        'platform/wire.py',
+        '    dropped |= RESERVED_HEADERS\n',
+        '',
+        'pimentoway/platform/wire_test.py',
+    ),
+    guard_text.Guard(
+        'what counts is passed on whatever the connection header says',
+        'platform/wire.py',
+        'message.list_connection_names(raw.headers) - KEPT_HEADERS',
+        'message.list_connection_names(raw.headers)',
+        'pimentoway/platform/wire_test.py',
+    ),
+    guard_text.Guard(
+        'foreign entries name no back end',
+        'platform/record.py',
+        '        draining=_find_word(DRAINING_BY_STATE, raw.state),',
+        "        draining=raw.state == 'draining',",
+        'pimentoway/platform/record_test.py',
+    ),
+    guard_text.Guard(
+        'configuration never goes back',
+        'ops/view.py',
+        (
+            '        if held is not None and newer.version <= held.version:\n'
+            '            return\n'
+        ),
+        '',
+        'pimentoway/ops/view_test.py',
+    ),
+    guard_text.Guard(
+        'lapsed entries are kept for a while',
+        'ops/view.py',
+        'if kind is registry.Kind.engines and self._is_doubtful(name):',
+        'if False:',
+        'pimentoway/ops/view_test.py',
+    ),
+    guard_text.Guard(
+        'an unrepeatable request runs once',
+        'callers/job.py',
+        'return self.route.idempotent and self.runs < self.route.attempts',
+        'return self.runs < 3',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a refusal is true',
+        'callers/forward.py',
+        'if served.runs and isinstance(fault, error.NotRunError):',
+        'if False:',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'an answer carries the seal',
+        'callers/delivery.py',
+        'if not marks.sealed or marks.encoded or not marks.request_id:',
+        'if False:',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'foreign answers are passed over',
+        'backends/channel.py',
+        "if marks.request_id in {'', request_id}:",
+        'if True:',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a resumed stream goes on after its last event',
+        'callers/delivery.py',
+        'after_event=served.cutter.last_id,',
+        "after_event=b'',",
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'half an event is held back',
+        'callers/delivery.py',
+        "        served.cutter.rest = b''\n",
+        '',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a broken stream has no last chunk',
+        'callers/forward.py',
+        '            served.writer.stays = False\n',
+        "            served.writer.end_stream(b'')\n",
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a caller that leaves is noticed',
+        'callers/connection.py',
+        '        watcher.start(self._look, greenlet.getcurrent(), watcher)\n',
+        '',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a connection is closed once while stopping',
+        'callers/connection.py',
+        (
+            '            self.idle = False\n'
+            '            self.closing = True\n'
+            '            self._sock.close()'
+        ),
+        '            self._sock.close()',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a stopping node is not ready',
+        'tools/edge.py',
+        'return bool(known) and not self.leaving',
+        'return bool(known)',
+        _EDGE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'quota in any window',
+        'ops/quota.py',
+        '        if not fits or (missing > 0 and not idle):',
+        '        if missing > 0 and not idle:',
+        'pimentoway/ops/quota_test.py',
+    ),
+    guard_text.Guard(
+        'quota is given out by parts',
+        'ops/quota.py',
+        'limit = self._measure_limit(customer) * share',
+        'limit = self._measure_limit(customer)',
+        'pimentoway/ops/quota_test.py',
+    ),
+    guard_text.Guard(
+        'retry budget',
+        'ops/gate.py',
+        'if entry.repeats and not self._allows_repeat(entry, outlook):',
+        'if False:',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'request that breaks back ends',
+        'ops/gate.py',
+        ('        if block:\n            return ask.Reason.suspect, block\n'),
+        '',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'cold back end at the broker',
+        'ops/broker.py',
+        '            and here.bears_cold(rate, self.stations.share)\n',
+        '',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'leaving back end at the broker',
+        'ops/stationtable.py',
+        '            and self._view.is_usable(here.engine)\n',
+        '',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'returns yield to newcomers',
+        'ops/broker.py',
+        '        entry = self._gate.recall(entry)\n',
+        '',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'slots kept for urgent requests',
+        'ops/line.py',
+        '        return free > round(tiers * RESERVED_PART * slots)',
+        '        return True',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'guaranteed part of the lowest tier',
+        'ops/line.py',
+        '        return pattern.running < pattern.count_guaranteed(slots)',
+        '        return False',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'runs that ended while unlinked are forgotten',
+        'ops/stationtable.py',
+        '            other.keep_runs(owner, kept)\n',
+        '            other.keep_runs(owner, set(other.run_by_key))\n',
+        'pimentoway/ops/admission_test.py',
+    ),
+    guard_text.Guard(
+        'asks without reply are asked again',
+        'ops/admission.py',
+        '            self._resubmit(pending)\n',
+        '            pending.remote = False\n',
+        'pimentoway/ops/admission_test.py',
+    ),
+    guard_text.Guard(
+        'a caller that leaves withdraws its ask',
+        'ops/admission.py',
+        '                self._withdraw(pending)\n',
+        '                pending.remote = False\n',
+        'pimentoway/ops/admission_test.py',
+    ),
+    guard_text.Guard(
+        'the best node uses its own broker',
+        'nodes/election.py',
+        '            if not reached and self._is_best_reached():',
+        '            if False:',
+        'pimentoway/nodes/election_test.py',
+    ),
+    guard_text.Guard(
+        'a bad version gets nothing more',
+        'ops/advance.py',
+        'if held.condemned or held.order.state == State.reverted.value:',
+        'if held.order.state == State.reverted.value:',
+        'pimentoway/ops/advance_test.py',
+    ),
+    guard_text.Guard(
+        'a new version gets a small share',
+        'ops/advance.py',
+        '        return not new or held.has_room()',
+        '        return True',
+        'pimentoway/ops/advance_test.py',
+    ),
+    guard_text.Guard(
+        'slow answers count against a version',
+        'ops/advance.py',
+        '        return bool(usual) and pace > SLOW_RATIO * usual',
+        '        return False',
+        'pimentoway/ops/advance_test.py',
+    ),
+)
--- a/pimentoway/tools/edge_process_test.py
+++ b/pimentoway/tools/edge_process_test.py
@@ -112,6 +112,7 @@
     ),
     make_route('stream', kind=deployment.Kind.stream, attempts=1),
     make_route('quick', kind=deployment.Kind.unsafe, timeout=0.3),
+    make_route('brief', timeout=0.6),
 )
 
 
@@ -366,6 +367,14 @@
     assert sum(count_runs(one, two).values()) == 1
 
 
+def test_request_that_may_have_run_is_not_refused() -> None:
+    """A page whose engine broke off, with no other, is a failure."""
+    engine = platform_engine.PlatformEngine('e1', Script(cut_after=0))
+    status, headers, _ = Site(engine).call('/brief/x')
+    assert status in {502, 504}
+    assert 'Retry-After' not in headers
+
+
 def test_refused_connection_goes_elsewhere() -> None:
     """An approval whose engine is down runs at another."""
     one = platform_engine.PlatformEngine('e1')
@@ -428,6 +437,7 @@
     assert body.count(b'data: piece') == len(EVENTS)
     assert body.endswith(b'0\r\n\r\n')
     assert two.list_texts(b'last-event-id') == [b'2']
+    assert b'dai' not in body
 
 
 def test_broken_stream_looks_broken() -> None:
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -4,7 +4,6 @@
 guard proves nothing. Each guard is a text of the code and what replaces it.
 """
 
-import dataclasses
 import os
 import pathlib
 import shutil
@@ -12,6 +11,8 @@
 import sys
 import tempfile
 
+from pimentoway.tools import edge_guard, guard_text
+
 #: Copies that are tested at once.
 COPIES = 6
 
@@ -20,26 +21,14 @@
 
 _ROOT = pathlib.Path(__file__).parents[2]
 _PASSED = 0
-_LEFT_OUT = shutil.ignore_patterns('.*', 'build', 'dist', '__pycache__')
-
-
-@dataclasses.dataclass(frozen=True)
-class Guard:
-    """A guard of the code.
-
-    Attributes:
-        name: Its name in docs/PROOFS.md.
-        path: The module, below the package.
-        text: The code of the guard.
-        without: What stands there when it is taken out.
-        tests: The tests that must fail then, as pytest's arguments.
-    """
-
-    name: str
-    path: str
-    text: str
-    without: str
-    tests: str
+_LEFT_OUT = shutil.ignore_patterns(
+    '.*',
+    'build',
+    'dist',
+    'target',
+    'journal',
+    '__pycache__',
+)
 
 
 _ONCE = 'pimentoway/tools/once_proof_test.py'
@@ -50,14 +39,15 @@
 _ROLLOUT = 'pimentoway/tools/rollout_proof_test.py'
 
 GUARDS = (
-    Guard(
+    *edge_guard.GUARDS,
+    guard_text.Guard(
         'claim before dispatch',
         'ops/claimlog.py',
         'return claim.Claim(held, granted=held == wanted)',
         'return claim.Claim(wanted, granted=True)',
         _ONCE,
     ),
-    Guard(
+    guard_text.Guard(
         'claim refused without the platform',
         'ops/once.py',
         '        except error.PimentowayError as fault:\n'
@@ -69,7 +59,7 @@
         '        else:',
         _ONCE,
     ),
-    Guard(
+    guard_text.Guard(
         'lost claim answer is read back',
         'ops/shard.py',
         '            unsure = unsure or progress is Progress.unsure\n',
@@ -83,7 +73,7 @@
         '                ]\n',
         _ONCE,
     ),
-    Guard(
+    guard_text.Guard(
         'one conditional update decides a claim',
         'ops/shard.py',
         '            self._open_version,\n        )\n        self._learn',
@@ -95,35 +85,35 @@
         '        self._learn',
         'pimentoway/ops/shard_test.py',
     ),
-    Guard(
+    guard_text.Guard(
         'unknown outcome stays claimed',
         'ops/once.py',
         'state=claim.State.unknown)',
         'state=claim.State.not_run)',
         _ONCE,
     ),
-    Guard(
+    guard_text.Guard(
         'outcome is recorded',
         'ops/once.py',
         '        self._claims.record(outcome)\n',
         '',
         _ONCE,
     ),
-    Guard(
+    guard_text.Guard(
         'key belongs to one body',
         'ops/once.py',
         'if held.fingerprint != flight.fingerprint:',
         'if held.fingerprint is flight:',
         _ONCE,
     ),
-    Guard(
+    guard_text.Guard(
         'updates of a shard are shared',
         'ops/claimlog.py',
         '        if owner == self._node:\n',
         '        if owner:\n',
         f'{_ONCE} -k share_writes',
     ),
-    Guard(
+    guard_text.Guard(
         'no second dispatch after bytes were sent',
         'ops/dispatch.py',
         '            except error.ConnectError:\n'
@@ -132,7 +122,7 @@
         '                state.note_refused_connection()\n',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'connection never made goes elsewhere',
         'ops/dispatch.py',
         '                state.note_refused_connection()\n'
@@ -140,14 +130,14 @@
         '                raise\n',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'dispatch wins over a late expiry',
         'ops/dispatch.py',
         '            return ticket.granted.get()\n',
         '            raise expired from None\n',
         'pimentoway/ops/dispatch_test.py',
     ),
-    Guard(
+    guard_text.Guard(
         'doubled pieces are dropped',
         'ops/dispatch.py',
         '                if piece.sequence <= progress.last:\n'
@@ -155,21 +145,21 @@
         '',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'stream is resumed after its last piece',
         'ops/dispatch.py',
         '            progress.last,\n        )\n        try:',
         '            progress.last + 1,\n        )\n        try:',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'event answers its own request',
         'backends/event.py',
         'if chunk.id != request_id:',
         'if not chunk.id:',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'blank answer is failed',
         'ops/dispatch.py',
         "    if piece.final and piece.payload == b'[DONE]' and not "
@@ -177,14 +167,14 @@
         '    if not entry:\n',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'deadline ends a stalled read',
         'core/connection.py',
         'return max(min(self.gap_seconds, left), LEAST_SECONDS)',
         'return max(self.gap_seconds, left * 0)',
         f'{_STREAM} -k frozen_engine',
     ),
-    Guard(
+    guard_text.Guard(
         'crash suspects are held',
         'ops/suspect.py',
         '        if known is None:\n            return Verdict.free\n'
@@ -193,7 +183,7 @@
         '        left',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'crash evidence is pooled between nodes',
         'ops/dispatch.py',
         '            if self._plan.suspects.record(sign):\n'
@@ -201,21 +191,21 @@
         '            self._plan.suspects.record(sign)\n',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'innocents are cleared',
         'ops/suspect.py',
         '        hold = HOLD_SECONDS\n        if alone:',
         '        hold = BAN_SECONDS\n        if alone:',
         _STREAM,
     ),
-    Guard(
+    guard_text.Guard(
         'tiers in strict order',
         'ops/queue.py',
         '        return sorted(self._by_rank)\n',
         '        return sorted(self._by_rank, reverse=True)\n',
         _ADMISSION,
     ),
-    Guard(
+    guard_text.Guard(
         'no lower tier while a higher one waits',
         'ops/pressure.py',
         '            if known.sign.rank < rank and now - known.heard < '
@@ -224,28 +214,28 @@
         '                return False\n',
         f'{_ADMISSION} -k lower_tier',
     ),
-    Guard(
+    guard_text.Guard(
         'full queue sheds the lowest tier',
         'ops/queue.py',
         'self._by_rank[max(self._by_rank)]',
         'self._by_rank[min(self._by_rank)]',
         f'{_ADMISSION} -k full_queue',
     ),
-    Guard(
+    guard_text.Guard(
         'customers are served by tokens',
         'ops/queue.py',
         '        return sorted(heads, key=self._measure_service)\n',
         '        return heads\n',
         f'{_ADMISSION} -k greedy',
     ),
-    Guard(
+    guard_text.Guard(
         'hopeless request is refused at once',
         'ops/scheduler.py',
         '        self._check_deadline(entry, pool)\n',
         '',
         f'{_ADMISSION} -k hopeless',
     ),
-    Guard(
+    guard_text.Guard(
         'owner lends free slots only',
         'ops/permit.py',
         '        if route.count_free_slots(state, site) < 1:\n'
@@ -253,21 +243,21 @@
         '',
         f'{_ADMISSION} -k cold_engine',
     ),
-    Guard(
+    guard_text.Guard(
         'cold back end gets few requests',
         'ops/route.py',
         '    if state.ramp.phase is ramp.Phase.warm:\n        return slots\n',
         '    if slots:\n        return slots\n',
         f'{_ADMISSION} -k cold_engine',
     ),
-    Guard(
+    guard_text.Guard(
         'restart begins a new ramp',
         'ops/fleet.py',
         '            self.restart(cold_seconds - report.uptime)\n',
         '            self.ramp.finish()\n',
         'pimentoway/ops/fleet_test.py',
     ),
-    Guard(
+    guard_text.Guard(
         'fall back is noticed from answers',
         'ops/fleet.py',
         '        self.restart(FALLBACK_SECONDS)\n        return True\n\n'
@@ -275,7 +265,7 @@
         '        return False\n\n    def note_failure',
         'pimentoway/ops/fleet_test.py',
     ),
-    Guard(
+    guard_text.Guard(
         'closed failure domain',
         'ops/route.py',
         '    if state.backend.zone in site.closed_zones:\n'
@@ -283,56 +273,56 @@
         '',
         f'{_ADMISSION} -k zone',
     ),
-    Guard(
+    guard_text.Guard(
         'leaving back end',
         'ops/route.py',
         'if state.backend.leaving or state.health.draining:',
         'if state.health.draining:',
         f'{_ADMISSION} -k leaving',
     ),
-    Guard(
+    guard_text.Guard(
         'draining back end',
         'ops/route.py',
         'if state.backend.leaving or state.health.draining:',
         'if state.backend.leaving:',
         f'{_ADMISSION} -k draining',
     ),
-    Guard(
+    guard_text.Guard(
         'node that shuts down waits',
         'tools/node.py',
         'while self.count_open() and',
         'while self.count_open() < 0 and',
         f'{_ADMISSION} -k graceful',
     ),
-    Guard(
+    guard_text.Guard(
         'version only rises',
         'ops/keeper.py',
         'if snapshot and snapshot.version > before:',
         'if snapshot:',
         _CONFIGURATION,
     ),
-    Guard(
+    guard_text.Guard(
         'no service without a configuration',
         'ops/scheduler.py',
         '        if self.view is None:\n            raise error.Conf',
         '        if self.view is self:\n            raise error.Conf',
         f'{_CONFIGURATION} pimentoway/ops/dispatch_test.py',
     ),
-    Guard(
+    guard_text.Guard(
         'configuration is relayed',
         'nodes/relay.py',
         '        gevent.spawn(self.fetch_changes, notice.address)\n',
         '',
         _CONFIGURATION,
     ),
-    Guard(
+    guard_text.Guard(
         'lost answer of a change is read back',
         'objects/head.py',
         '    if known:\n        return known\n    if fence',
         '    if fence',
         'pimentoway/objects/head_test.py',
     ),
-    Guard(
+    guard_text.Guard(
         'one conditional update decides a change',
         'objects/head.py',
         '            stored.version,\n        )\n    except',
@@ -341,14 +331,14 @@
         '        )\n    except',
         'pimentoway/objects/head_test.py',
     ),
-    Guard(
+    guard_text.Guard(
         'bad version gets no share',
         'ops/route.py',
         'if version.name not in condemned',
         'if version.name',
         f'{_ROLLOUT} -k "outage or later"',
     ),
-    Guard(
+    guard_text.Guard(
         'evidence is pooled between nodes',
         'ops/judge.py',
         '        for tally in self._book.list_news():\n'
@@ -356,35 +346,35 @@
         '        self._book.list_news()\n',
         f'{_ROLLOUT} -k all_nodes',
     ),
-    Guard(
+    guard_text.Guard(
         'blank and slow answers count as bad',
         'ops/dispatch.py',
         'good=not slow',
         'good=True',
         f'{_ROLLOUT} -k slow',
     ),
-    Guard(
+    guard_text.Guard(
         'late rollout is taken back',
         'tools/controller.py',
         'if rollout.is_late(planned, now):',
         'if not planned:',
         f'{_ROLLOUT} -k raised',
     ),
-    Guard(
+    guard_text.Guard(
         'share is small at first',
         'ops/rollout.py',
         'STEPS = (0.01, 0.05, 0.2, 0.5, 1)',
         'STEPS = (0.5, 0.5, 0.5, 0.5, 1)',
         f'{_ROLLOUT} -k small',
     ),
-    Guard(
+    guard_text.Guard(
         'paused controller is fenced off',
         'objects/head.py',
         'if fence and fence < stored.head.fence:',
         'if fence < 0:',
         f'{_ROLLOUT} -k fenced',
     ),
-    Guard(
+    guard_text.Guard(
         'member denies its death',
         'nodes/member.py',
         '        self.own = _raise_incarnation('
@@ -414,7 +404,7 @@
     return 0 if seen == len(chosen) else 1
 
 
-def check_batch(batch: list[Guard], folder: pathlib.Path) -> int:
+def check_batch(batch: list[guard_text.Guard], folder: pathlib.Path) -> int:
     """Take some guards out at once, each in a copy of its own.
 
     Args:
@@ -436,7 +426,7 @@
     return seen
 
 
-def begin(guard: Guard, folder: pathlib.Path) -> subprocess.Popen:
+def begin(guard: guard_text.Guard, folder: pathlib.Path) -> subprocess.Popen:
     """Start the tests of a copy without a guard.
 
     Args:
@@ -458,7 +448,11 @@
     return subprocess.Popen(
         [sys.executable, '-m', 'pytest', '-x', *guard.tests.split()],
         cwd=folder,
-        env={**os.environ, 'PYTHONPATH': str(folder)},
+        env={
+            **os.environ,
+            'PYTHONPATH': str(folder),
+            'PIMENTOWAY_TEST_CLOCK': guard.clock,
+        },
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
     )
