--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 test-processes: install dist
 	PIMENTOWAY_TEST_CLOCK=real $(PYTHON) -m pytest \
-		pimentoway/tools/*process_test.py
+		pimentoway/*/*process_test.py
 
 lint: install
 	$(VENV)/bin/ruff format --check .
--- a/pimentoway/tools/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -8,11 +8,10 @@
 from gevent import socket as gevent_socket
 
 from pimentoway.core import deployment, error, place, registry
-from pimentoway.platform import wire
-from pimentoway.standin import platform_engine
+from pimentoway.platform import scripted_engine, wire
 from pimentoway.tools import edge
 
-Script = platform_engine.Script
+Script = scripted_engine.Script
 
 #: Seconds after which an answer that does not come fails a test.
 PATIENCE = 6
@@ -124,7 +123,7 @@
         front: Where it takes callers.
     """
 
-    def __init__(self, *engines: platform_engine.PlatformEngine) -> None:
+    def __init__(self, *engines: scripted_engine.ScriptedEngine) -> None:
         """Start a node.
 
         Args:
@@ -181,7 +180,7 @@
         self._change(registry.Kind.configuration, 'main', held)
 
     def add(
-        self, engine: platform_engine.PlatformEngine, **changes: object
+        self, engine: scripted_engine.ScriptedEngine, **changes: object
     ) -> None:
         """Announce an engine.
 
@@ -298,7 +297,7 @@
 
 
 def count_runs(
-    *engines: platform_engine.PlatformEngine,
+    *engines: scripted_engine.ScriptedEngine,
 ) -> collections.Counter[str]:
     """Count what reached engines.
 
@@ -315,7 +314,7 @@
 
 def test_answer_is_passed_on_unchanged() -> None:
     """Status, body and signature come as the engine made them."""
-    engine = platform_engine.PlatformEngine('e1')
+    engine = scripted_engine.ScriptedEngine('e1')
     site = Site(engine)
     status, headers, body = site.call('/safe/x?y=1')
     assert (status, body) == (200, b'done')
@@ -334,15 +333,15 @@
 )
 def test_own_refusals(path: str, key: str, status: int) -> None:
     """An unknown key or path is refused and reaches no engine."""
-    engine = platform_engine.PlatformEngine('e1')
+    engine = scripted_engine.ScriptedEngine('e1')
     assert Site(engine).call(path, key=key)[0] == status
     assert not engine.requests
 
 
 def test_failed_page_is_tried_elsewhere() -> None:
     """A page that one engine fails to make comes from another."""
-    one = platform_engine.PlatformEngine('e1', Script(status=500))
-    two = platform_engine.PlatformEngine('e2')
+    one = scripted_engine.ScriptedEngine('e1', Script(status=500))
+    two = scripted_engine.ScriptedEngine('e2')
     status, _, body = Site(one, two).call('/safe/x')
     assert (status, body) == (200, b'done')
 
@@ -359,8 +358,8 @@
 )
 def test_unrepeatable_call_runs_once(script: Script) -> None:
     """Whatever becomes of its answer, an approval reaches one engine."""
-    one = platform_engine.PlatformEngine('e1', script)
-    two = platform_engine.PlatformEngine('e2', script)
+    one = scripted_engine.ScriptedEngine('e1', script)
+    two = scripted_engine.ScriptedEngine('e2', script)
     status, _, _ = Site(one, two).call('/unsafe/x')
     assert status >= 500
     assert status != 503
@@ -369,7 +368,7 @@
 
 def test_request_that_may_have_run_is_not_refused() -> None:
     """A page whose engine broke off, with no other, is a failure."""
-    engine = platform_engine.PlatformEngine('e1', Script(cut_after=0))
+    engine = scripted_engine.ScriptedEngine('e1', Script(cut_after=0))
     status, headers, _ = Site(engine).call('/brief/x')
     assert status in {502, 504}
     assert 'Retry-After' not in headers
@@ -377,8 +376,8 @@
 
 def test_refused_connection_goes_elsewhere() -> None:
     """An approval whose engine is down runs at another."""
-    one = platform_engine.PlatformEngine('e1')
-    two = platform_engine.PlatformEngine('e2')
+    one = scripted_engine.ScriptedEngine('e1')
+    two = scripted_engine.ScriptedEngine('e2')
     site = Site(one, two)
     one.stop()
     for _ in range(3):
@@ -389,18 +388,18 @@
 def test_engine_that_sheds_has_not_run() -> None:
     """A call that an engine did not run goes to another, or is refused."""
     shed = Script(status=503, headers=('Pimentoway-Not-Executed: 1',))
-    one = platform_engine.PlatformEngine('e1', shed)
+    one = scripted_engine.ScriptedEngine('e1', shed)
     site = Site(one)
     status, headers, _ = site.call('/unsafe/x')
     assert status == 503
     assert float(headers['Retry-After']) > 0
-    site.add(platform_engine.PlatformEngine('e2'))
+    site.add(scripted_engine.ScriptedEngine('e2'))
     assert site.call('/unsafe/x')[0] == 200
 
 
 def test_foreign_answer_is_passed_over() -> None:
     """An answer with another identifier is nobody's."""
-    engine = platform_engine.PlatformEngine('e1', Script(foreign=True))
+    engine = scripted_engine.ScriptedEngine('e1', Script(foreign=True))
     status, headers, body = Site(engine).call('/safe/x')
     assert (status, body) == (200, b'done')
     assert headers['Pimentoway-Attempt-Id'] == 'a1'
@@ -409,7 +408,7 @@
 def test_stream_is_passed_on_as_it_comes() -> None:
     """Events arrive one by one, and the end is marked."""
     script = Script(body=EVENTS, chunked=True, pause=0.1)
-    site = Site(platform_engine.PlatformEngine('e1', script))
+    site = Site(scripted_engine.ScriptedEngine('e1', script))
     sock = site.connect()
     sock.sendall(make_request('/stream/x'))
     first = sock.recv(65536)
@@ -422,10 +421,10 @@
 def test_broken_stream_goes_on_at_another_engine() -> None:
     """A resumable stream that breaks within an event loses nothing."""
     torn = (*EVENTS[:2], b'id: 3\nda', b'')
-    one = platform_engine.PlatformEngine(
+    one = scripted_engine.ScriptedEngine(
         'e1', Script(body=torn, chunked=True, pause=0.02, cut_after=3)
     )
-    two = platform_engine.PlatformEngine(
+    two = scripted_engine.ScriptedEngine(
         'e2', Script(body=EVENTS[2:], chunked=True)
     )
     site = Site(one)
@@ -443,8 +442,8 @@
 def test_broken_stream_looks_broken() -> None:
     """A stream that can't be resumed ends without its mark."""
     script = Script(body=EVENTS, chunked=True, cut_after=2)
-    one = platform_engine.PlatformEngine('e1', script)
-    two = platform_engine.PlatformEngine('e2', script)
+    one = scripted_engine.ScriptedEngine('e1', script)
+    two = scripted_engine.ScriptedEngine('e2', script)
     _, _, body = Site(one, two).call('/stream/x')
     assert body.count(b'data: piece') == 2
     assert not body.endswith(b'0\r\n\r\n')
@@ -453,7 +452,7 @@
 
 def test_caller_that_leaves_stops_the_work() -> None:
     """The engine's connection ends soon after the caller's."""
-    engine = platform_engine.PlatformEngine('e1', Script(mute=True))
+    engine = scripted_engine.ScriptedEngine('e1', Script(mute=True))
     site = Site(engine)
     sock = site.connect()
     sock.sendall(make_request('/unsafe/x'))
@@ -465,7 +464,7 @@
 
 def test_caller_that_left_the_queue_is_dropped() -> None:
     """A request whose caller left while it waited reaches no engine."""
-    engine = platform_engine.PlatformEngine('e1', Script(pause=0.3))
+    engine = scripted_engine.ScriptedEngine('e1', Script(pause=0.3))
     site = Site()
     site.add(engine, slots=1)
     task = gevent.spawn(site.call, '/unsafe/x')
@@ -481,7 +480,7 @@
 
 def test_timeout_gives_a_final_answer() -> None:
     """A call that an engine does not answer ends at the route's timeout."""
-    engine = platform_engine.PlatformEngine('e1', Script(mute=True))
+    engine = scripted_engine.ScriptedEngine('e1', Script(mute=True))
     site = Site(engine)
     with gevent.Timeout(1):
         assert site.call('/quick/x')[0] == 504
@@ -496,7 +495,7 @@
 
 def test_engines_connections_are_reused() -> None:
     """Calls in a row use one connection."""
-    site = Site(platform_engine.PlatformEngine('e1'))
+    site = Site(scripted_engine.ScriptedEngine('e1'))
     for _ in range(5):
         site.call('/safe/x')
     assert site.node._channels.opened == 1
@@ -504,7 +503,7 @@
 
 def test_smuggled_request_is_refused() -> None:
     """A request with two lengths ends the connection and runs nothing."""
-    engine = platform_engine.PlatformEngine('e1')
+    engine = scripted_engine.ScriptedEngine('e1')
     site = Site(engine)
     sock = site.connect()
     sock.sendall(
@@ -516,7 +515,7 @@
 
 def test_requests_in_a_row_are_answered_in_order() -> None:
     """Two requests sent at once on one connection get their own answers."""
-    engine = platform_engine.PlatformEngine(
+    engine = scripted_engine.ScriptedEngine(
         'e1', Script(body=(b'one',)), Script(body=(b'two',))
     )
     sock = Site(engine).connect()
@@ -531,7 +530,7 @@
 
 def test_slow_head_ends_the_connection() -> None:
     """A caller that dawdles over its head is told so."""
-    site = Site(platform_engine.PlatformEngine('e1'))
+    site = Site(scripted_engine.ScriptedEngine('e1'))
     sock = site.connect()
     sock.sendall(b'POST /safe/x HTTP/1.1\r\nHost')
     assert split_answer(read_all(sock))[0] == 408
@@ -539,7 +538,7 @@
 
 def test_stopping_node_cuts_nothing() -> None:
     """A node that stops is not ready, ends its work and closes idle ones."""
-    engine = platform_engine.PlatformEngine('e1', Script(pause=0.8))
+    engine = scripted_engine.ScriptedEngine('e1', Script(pause=0.8))
     site = Site(engine)
     idle = site.connect()
     task = gevent.spawn(site.call, '/unsafe/x', extra='')
@@ -557,7 +556,7 @@
 
 def test_idle_connection_is_closed_once() -> None:
     """A node that stops looks again at connections that it has closed."""
-    site = Site(platform_engine.PlatformEngine('e1'))
+    site = Site(scripted_engine.ScriptedEngine('e1'))
     idle = site.connect()
     gevent.sleep(0.05)
     caller = next(iter(site.node._callers))
@@ -568,7 +567,7 @@
 
 def test_old_configuration_never_returns() -> None:
     """A late reader's old configuration is passed over."""
-    site = Site(platform_engine.PlatformEngine('e1'))
+    site = Site(scripted_engine.ScriptedEngine('e1'))
     site.configure(7, (make_route('new'),))
     site.configure(3)
     assert site.call('/new/x')[0] == 200
--- a/pimentoway/standin/platform_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -50,7 +50,7 @@
     mute: bool = False
 
 
-class PlatformEngine:
+class ScriptedEngine:
     """An engine.
 
     Attributes:
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -2,7 +2,7 @@
 
 from pimentoway.tools import guard_text
 
-_EDGE = 'pimentoway/tools/edge_process_test.py'
+_EDGE = 'pimentoway/platform/edge_process_test.py'
 _BROKER = 'pimentoway/ops/broker_test.py'
 _REAL = 'real'
 
