--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -167,6 +167,9 @@
         if not waiting.waiting_by_key:
             return
         free = self.stations.list_free(service)
+        if not free:
+            # Nothing is ordered in vain: under overload this is the usual case.
+            return
         left = sum(here.count_free(self.stations.share) for here in free)
         slots = self.stations.count_slots(service)
         for ticket in waiting.list_ordered(slots):
@@ -218,6 +221,7 @@
         waiting.pattern_by_route[ticket.ask.route].running += 1
         here.start(ticket.key, ticket.ask)
         self.advances.note_start(here.engine)
+        self._gate.note_start(ticket.ask)
         self._log_grant(ticket, here)
         grant = ask.Grant(ticket.ask.number, here.engine.name)
         self._reply(ticket.key[0], grant)
--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -142,6 +142,18 @@
     assert [reply.number for reply in replies] == [2, 4]
 
 
+def test_page_that_was_served_is_no_return() -> None:
+    """Hot page: a refusal of long ago does not hold the next caller back."""
+    world = load.World(speeds=())
+    page = make_ask(1, fingerprint=7, goal_left=0.5)
+    world.broker.submit('other/1', page)
+    load.play(1)
+    world.add_engine('e0', 1, 1)
+    world.broker.submit('other/1', msgspec.structs.replace(page, number=2))
+    world.broker.finish('other/1', ask.Report(2, ask.Outcome.answered))
+    assert world.broker._gate.recall(page) == page
+
+
 def test_last_slots_are_kept_for_urgent_requests() -> None:
     """Many long answers of a low tier: an urgent request starts at once."""
     world = load.World(speeds=(1,), slots=25)
--- a/pimentoway/ops/gate.py
+++ b/pimentoway/ops/gate.py
@@ -110,6 +110,14 @@
             goal_left=min(entry.goal_left, left),
         )
 
+    def note_start(self, entry: ask.Ask) -> None:
+        """Note that a request got a slot, so that it does not come back.
+
+        Args:
+            entry: The ask.
+        """
+        self._goal_by_refused.pop(entry.fingerprint, None)
+
     def note_refusal(self, entry: ask.Ask, goal: float) -> None:
         """Note that a request was refused, in case it comes back.
 
