--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -92,7 +92,7 @@
 
     def read_head(
         self, request_id: str, deadline: float
-    ) -> tuple[message.Answer, call.Marks]:
+    ) -> tuple[message.Answer, call.AnswerNotes]:
         """Read the head of the answer to a request.
 
         Args:
@@ -108,9 +108,9 @@
         """
         for _ in range(FOREIGN_ANSWERS):
             answer = self._wait_for_head(deadline)
-            marks = self._dialect.read_marks(answer)
-            if marks.request_id in {'', request_id}:
-                return answer, marks
+            notes = self._dialect.read_notes(answer)
+            if notes.request_id in {'', request_id}:
+                return answer, notes
             while not answer.whole:
                 self._receive(deadline)
             self._reader.answers.popleft()
@@ -256,21 +256,21 @@
         return channel
 
     def give_back(
-        self, channel: Channel, answer: message.Answer, marks: call.Marks
+        self, channel: Channel, answer: message.Answer, notes: call.AnswerNotes
     ) -> None:
         """Keep a connection for the next request, or close it.
 
         Args:
             channel: The connection.
             answer: The answer that came on it.
-            marks: What the back end said beside the answer.
+            notes: What the back end said beside the answer.
         """
         idle = self._idle_by_engine.setdefault(channel.engine, [])
         if not channel.finish(answer) or len(idle) >= IDLE_CHANNELS:
             self.drop(channel)
             return
-        if marks.idle_seconds is not None:
-            channel.idle_seconds = marks.idle_seconds - IDLE_MARGIN_SECONDS
+        if notes.idle_seconds is not None:
+            channel.idle_seconds = notes.idle_seconds - IDLE_MARGIN_SECONDS
         idle.append(channel)
 
     def drop(self, channel: Channel) -> None:
--- a/pimentoway/callers/delivery.py
+++ b/pimentoway/callers/delivery.py
@@ -6,7 +6,7 @@
 from pimentoway.backends import channel
 from pimentoway.callers import answer_writer, job
 from pimentoway.core import call, clock, deployment, error, message
-from pimentoway.ops import admission, ask
+from pimentoway.ops import ask, slotclient
 
 #: Seconds without an event after which a stream that may be resumed goes on
 #: at another back end: several times the longest pause of a sound one.
@@ -40,7 +40,7 @@
         dialect: How requests and answers are written.
     """
 
-    slots: admission.Admission
+    slots: slotclient.SlotClient
     channels: channel.ChannelPool
     dialect: call.Dialect
 
@@ -70,7 +70,7 @@
         self._started = clock.read_monotonic()
         self._first: float = 0
         self._events = served.cutter.count
-        self._marks: call.Marks | None = None
+        self._notes: call.AnswerNotes | None = None
         self._outcome = ask.Outcome.abandoned
 
     def run(self) -> str:
@@ -108,40 +108,40 @@
         self, link: channel.Channel, answer: message.Answer | None
     ) -> None:
         # Closing a connection makes the back end stop its work.
-        if answer is not None and answer.whole and self._marks:
-            self._parts.channels.give_back(link, answer, self._marks)
+        if answer is not None and answer.whole and self._notes:
+            self._parts.channels.give_back(link, answer, self._notes)
         else:
             self._parts.channels.drop(link)
 
     def _send(self, link: channel.Channel) -> message.Answer:
         served = self._job
-        errand = call.Errand(
+        dispatch = call.Dispatch(
             request=served.request,
             engine=self._engine,
             customer=served.customer.name if served.customer else '',
             seconds=served.deadline - clock.read_monotonic(),
             after_event=served.cutter.last_id,
         )
-        head = self._parts.dialect.write_request(errand)
+        head = self._parts.dialect.write_request(dispatch)
         served.repeats += 1
         served.runs += 1
         request_id = served.request.request_id
         try:
             link.send(b'%s%s' % (head, served.request.body), served.deadline)
-            answer, marks = link.read_head(request_id, self._find_limit())
+            answer, notes = link.read_head(request_id, self._find_limit())
         except error.CutError as fault:
             raise self._note_cut(fault) from fault
-        self._marks = marks
+        self._notes = notes
         return answer
 
     def _pass_on(self, link: channel.Channel, answer: message.Answer) -> str:
-        marks = self._marks
-        if marks.not_run and answer.status != _BAD_REQUEST:
+        notes = self._notes
+        if notes.not_run and answer.status != _BAD_REQUEST:
             self._note_shed(link, answer)
             raise AgainError
         if not _SUCCESS <= answer.status < _REDIRECTION:
-            return self._pass_failure(link, answer, marks)
-        if not marks.sealed or marks.encoded or not marks.request_id:
+            return self._pass_failure(link, answer, notes)
+        if not notes.sealed or notes.encoded or not notes.request_id:
             self._outcome = ask.Outcome.spoiled
             raise self._decide_failed('the answer is not a proper one')
         if self._job.route.kind is deployment.Kind.stream:
@@ -160,12 +160,15 @@
             answer.keep_alive = False
 
     def _pass_failure(
-        self, link: channel.Channel, answer: message.Answer, marks: call.Marks
+        self,
+        link: channel.Channel,
+        answer: message.Answer,
+        notes: call.AnswerNotes,
     ) -> str:
         served = self._job
         self._outcome = ask.Outcome.failed
         whole = _make_whole(answer, self._read_body_or_cut(link, answer))
-        if marks.sealed and not served.writer.begun:
+        if notes.sealed and not served.writer.begun:
             served.failure = whole
             if answer.status < _FAILURE:
                 served.writer.write_whole(whole)
@@ -266,8 +269,8 @@
         return error.FailedError(reason, 'answer', self._engine.name)
 
     def _report(self) -> None:
-        load = self._marks.load if self._marks else None
-        cold = self._marks.cold_seconds if self._marks else None
+        load = self._notes.load if self._notes else None
+        cold = self._notes.cold_seconds if self._notes else None
         self._parts.slots.report(
             ask.Report(
                 number=self._entry.number,
--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -13,7 +13,7 @@
     message,
     metric,
 )
-from pimentoway.ops import admission, ask, view
+from pimentoway.ops import ask, slotclient, view
 
 #: Seconds for which a request is kept if neither its route nor its caller
 #: says how long.
@@ -36,7 +36,7 @@
         self,
         zone: str,
         known: view.View,
-        slots: admission.Admission,
+        slots: slotclient.SlotClient,
         channels: channel.ChannelPool,
         dialect: call.Dialect,
     ) -> None:
--- a/pimentoway/core/call.py
+++ b/pimentoway/core/call.py
@@ -77,7 +77,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Errand:
+class Dispatch:
     """A request on its way to a back end.
 
     Attributes:
@@ -111,7 +111,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Marks:
+class AnswerNotes:
     """What a back end says beside its answer.
 
     Attributes:
@@ -140,11 +140,11 @@
     Attributes:
         read_request: Decodes a caller's request.
         write_request: Encodes the head of a request for a back end.
-        read_marks: Decodes what a back end says beside its answer.
+        read_notes: Decodes what a back end says beside its answer.
         ready_path: The path at which the balancer asks for readiness.
     """
 
     read_request: collections.abc.Callable[[message.Request], CallerRequest]
-    write_request: collections.abc.Callable[[Errand], bytes]
-    read_marks: collections.abc.Callable[[message.Answer], Marks]
+    write_request: collections.abc.Callable[[Dispatch], bytes]
+    read_notes: collections.abc.Callable[[message.Answer], AnswerNotes]
     ready_path: str
--- a/pimentoway/core/log.py
+++ b/pimentoway/core/log.py
@@ -5,7 +5,7 @@
 import eliot
 import msgspec
 
-from pimentoway.core import outlet
+from pimentoway.core import logsink
 
 
 class Log:
@@ -49,11 +49,11 @@
     eliot.to_file(stream)
 
 
-def open_outlet(place: outlet.Outlet) -> None:
-    """Send all log lines to an outlet as JSON.
+def open_sink(place: logsink.LogSink) -> None:
+    """Send all log lines to a sink as JSON.
 
     Args:
-        place: The outlet.
+        place: The logsink.
     """
     encoder = msgspec.json.Encoder(enc_hook=str)
     eliot.add_destinations(
--- a/pimentoway/core/outlet.py
+++ b/pimentoway/core/logsink.py
@@ -20,7 +20,7 @@
 BLOCK_BYTES = 4096
 
 
-class Outlet:
+class LogSink:
     """Takes log lines and writes them when there is time.
 
     Attributes:
--- a/pimentoway/core/outlet_test.py
+++ b/pimentoway/core/logsink_test.py
@@ -5,7 +5,7 @@
 import gevent
 from hypothesis import given, strategies
 
-from pimentoway.core import outlet
+from pimentoway.core import logsink
 from pimentoway.standin import paused_loop
 
 
@@ -31,7 +31,7 @@
 def test_lines_arrive_whole_and_in_order(sizes: list[int]) -> None:
     """A reader that is slow gets every line whole, later."""
     reading, writing = os.pipe()
-    place = outlet.Outlet(writing)
+    place = logsink.LogSink(writing)
     lines = [b'%d\n' % (10**size) for size in sizes if size < 800]
     lines.extend(b'%s\n' % (b'x' * size) for size in sizes)
     for line in lines:
@@ -48,15 +48,15 @@
 def test_too_many_lines_are_counted() -> None:
     """Beyond the bound lines are dropped, and their count is told."""
     reading, writing = os.pipe()
-    place = outlet.Outlet(writing)
+    place = logsink.LogSink(writing)
     gevent.spawn(place.run)
-    for number in range(outlet.BURST_LINES + 50):
+    for number in range(logsink.BURST_LINES + 50):
         place.write(b'%d\n' % number)
     assert place.dropped == 50
     paused_loop.advance(1)
     seen = drain(reading)
     assert b'"count": 50' in seen
-    assert b'%d\n' % (outlet.BURST_LINES - 1) in seen
+    assert b'%d\n' % (logsink.BURST_LINES - 1) in seen
     paused_loop.advance(1)
     place.write(b'again\n')
     paused_loop.advance(1)
--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -18,7 +18,7 @@
     registry,
 )
 from pimentoway.nodes import frame, link
-from pimentoway.ops import admission, ask, view
+from pimentoway.ops import ask, slotclient, view
 
 #: Seconds between looks for a better broker than the one that is asked.
 LOOK_SECONDS = 1.0
@@ -64,7 +64,7 @@
         here: place.Place,
         boot: str,
         known: view.View,
-        slots: admission.Admission,
+        slots: slotclient.SlotClient,
     ) -> None:
         """Start with the node's own broker.
 
--- a/pimentoway/nodes/election_test.py
+++ b/pimentoway/nodes/election_test.py
@@ -5,7 +5,7 @@
 
 from pimentoway.core import deployment, error, place, registry
 from pimentoway.nodes import election, frame, link
-from pimentoway.ops import admission, broker, view
+from pimentoway.ops import broker, slotclient, view
 from pimentoway.standin import paused_loop
 
 Kind = registry.Kind
@@ -93,7 +93,7 @@
             bounds=place.Bounds(),
         )
         self.view = view.View()
-        self.slots = admission.Admission('here/1', 8)
+        self.slots = slotclient.SlotClient('here/1', 8)
         self.slots.use_local(
             broker.Broker(here.bounds, self.view, self._drop),
         )
--- a/pimentoway/ops/gate.py
+++ b/pimentoway/ops/admit.py
@@ -21,11 +21,11 @@
 #: The refused requests that are remembered.
 KEPT_REFUSALS = 5000
 
-_LOG = log.Log('gate')
+_LOG = log.Log('admit')
 
 
 @dataclasses.dataclass(frozen=True)
-class Outlook:
+class Estimate:
     """How a service stands for one more request.
 
     Attributes:
@@ -42,7 +42,7 @@
     share: float
 
 
-class Gate:
+class AdmissionControl:
     """Decides which requests may wait."""
 
     def __init__(self, bounds: place.Bounds, known: view.View) -> None:
@@ -61,13 +61,13 @@
         self._repeats_by_service: dict[str, window.Window] = {}
 
     def check(
-        self, entry: ask.Ask, outlook: Outlook
+        self, entry: ask.Ask, estimate: Estimate
     ) -> tuple[ask.Reason | None, float]:
         """Decide whether a request may wait, and charge its quota if so.
 
         Args:
             entry: The ask.
-            outlook: How its service stands.
+            estimate: How its service stands.
 
         Returns:
             Why it is refused, if it is, and the seconds after which coming
@@ -76,11 +76,11 @@
         block = self._crashes.measure_block(entry.fingerprint)
         if block:
             return ask.Reason.suspect, block
-        if entry.repeats and not self._allows_repeat(entry, outlook):
+        if entry.repeats and not self._allows_repeat(entry, estimate):
             return ask.Reason.no_budget, RETRY_SECONDS
-        reason, wait = _check_time(entry, outlook)
+        reason, wait = _check_time(entry, estimate)
         if reason is None and not entry.repeats:
-            wait = self._spend(entry, outlook)
+            wait = self._spend(entry, estimate)
             reason = ask.Reason.over_quota if wait else None
         if reason is None:
             self._count(entry)
@@ -172,12 +172,12 @@
         """
         self._crashes.note_answer(entry.fingerprint)
 
-    def _allows_repeat(self, entry: ask.Ask, outlook: Outlook) -> bool:
+    def _allows_repeat(self, entry: ask.Ask, estimate: Estimate) -> bool:
         asks = self._find_window(self._asks_by_service, entry.service)
         repeats = self._find_window(self._repeats_by_service, entry.service)
         budget = (
             self._bounds.retry_ratio * asks.measure()
-            + self._bounds.retry_slack * outlook.share
+            + self._bounds.retry_slack * estimate.share
         )
         return repeats.measure() + 1 <= budget * BUDGET_PART
 
@@ -196,15 +196,15 @@
             by_service[service] = found
         return found
 
-    def _spend(self, entry: ask.Ask, outlook: Outlook) -> float:
+    def _spend(self, entry: ask.Ask, estimate: Estimate) -> float:
         customer = self._find_customer(entry.customer)
         if customer is None:
             return 0
         return self._quotas.spend(
             customer,
             entry.cost,
-            outlook.share,
-            outlook.idle,
+            estimate.share,
+            estimate.idle,
         )
 
     def _find_customer(self, name: str) -> deployment.Customer | None:
@@ -214,11 +214,11 @@
 
 
 def _check_time(
-    entry: ask.Ask, outlook: Outlook
+    entry: ask.Ask, estimate: Estimate
 ) -> tuple[ask.Reason | None, float]:
-    if outlook.wait is None:
+    if estimate.wait is None:
         return ask.Reason.no_backend, RETRY_SECONDS * 2
-    needed = outlook.wait + outlook.first
-    if outlook.wait and needed > min(entry.time_left, entry.patience_left):
-        return ask.Reason.overloaded, outlook.wait
+    needed = estimate.wait + estimate.first
+    if estimate.wait and needed > min(entry.time_left, entry.patience_left):
+        return ask.Reason.overloaded, estimate.wait
     return None, 0
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -9,13 +9,13 @@
 
 from pimentoway.core import clock, log, place, registry
 from pimentoway.ops import (
-    advance,
+    admit,
     ask,
-    gate,
-    line,
-    station,
-    stationtable,
+    enginestate,
+    enginetable,
+    progress,
     view,
+    waitqueue,
 )
 
 #: The cost, in seconds, of a back end in another failure domain: bytes
@@ -48,8 +48,8 @@
     """The broker of a node.
 
     Attributes:
-        stations: The back ends.
-        advances: The rollouts.
+        engines: The back ends.
+        rollouts: The rollouts.
     """
 
     def __init__(
@@ -62,14 +62,16 @@
             known: The view.
             reply: Sends a grant or a refusal to a node.
         """
-        self.stations = stationtable.StationTable(known)
-        self.advances = advance.AdvanceTable(bounds, known)
+        self.engines = enginetable.EngineTable(known)
+        self.rollouts = progress.ProgressTable(bounds, known)
         self._view = known
         self._reply = reply
-        self._line_by_service: dict[str, line.Line] = collections.defaultdict(
-            line.Line,
+        self._queue_by_service: dict[str, waitqueue.WaitQueue] = (
+            collections.defaultdict(
+                waitqueue.WaitQueue,
+            )
         )
-        self._gate = gate.Gate(bounds, known)
+        self._control = admit.AdmissionControl(bounds, known)
         known.follow(self._follow)
         self._follow(registry.Kind.engines)
 
@@ -80,16 +82,16 @@
             owner: The node that asks.
             entry: The ask.
         """
-        entry = self._gate.recall(entry)
-        self._line_by_service[entry.service].note_ask(entry)
-        reason, wait = self._gate.check(entry, self._find_outlook(entry))
+        entry = self._control.recall(entry)
+        self._queue_by_service[entry.service].note_ask(entry)
+        reason, wait = self._control.check(entry, self._make_estimate(entry))
         if reason is not None:
             goal = clock.read_monotonic() + entry.goal_left
-            self._gate.note_refusal(entry, goal)
+            self._control.note_refusal(entry, goal)
             self._refuse((owner, entry.number), reason, wait)
             return
         now = clock.read_monotonic()
-        ticket = line.Ticket(
+        ticket = waitqueue.Ticket(
             key=(owner, entry.number),
             ask=entry,
             arrived=now,
@@ -97,7 +99,7 @@
             deadline=now + entry.time_left,
             patience=now + entry.patience_left,
         )
-        self._line_by_service[entry.service].add(ticket)
+        self._queue_by_service[entry.service].add(ticket)
         self.pump(entry.service)
 
     def finish(self, owner: str, report: ask.Report) -> None:
@@ -108,13 +110,13 @@
             report: What became of it.
         """
         key = (owner, report.number)
-        for service, waiting in self._line_by_service.items():
+        for service, waiting in self._queue_by_service.items():
             ticket = waiting.waiting_by_key.pop(key, None)
             if ticket:
-                self._gate.refund(ticket.ask)
+                self._control.refund(ticket.ask)
                 self.pump(service)
                 return
-        here = self.stations.find(key)
+        here = self.engines.find(key)
         if here:
             self._end_run(here, key, report)
 
@@ -128,12 +130,12 @@
             runs: Its runs.
             used: What it used of the quotas lately.
         """
-        known = self.stations.adopt(owner, runs)
+        known = self.engines.adopt(owner, runs)
         if known:
             # What it used was given out here.
             return
         for usage in used:
-            self._gate.charge(usage)
+            self._control.charge(usage)
 
     def drop_owner(self, owner: str) -> None:
         """Forget the asks of a node that vanished.
@@ -141,18 +143,18 @@
         Args:
             owner: The node.
         """
-        for waiting in self._line_by_service.values():
+        for waiting in self._queue_by_service.values():
             gone = [key for key in waiting.waiting_by_key if key[0] == owner]
             for key in gone:
                 ticket = waiting.waiting_by_key.pop(key)
-                self._gate.refund(ticket.ask)
-        self.stations.note_vanished(owner)
+                self._control.refund(ticket.ask)
+        self.engines.note_vanished(owner)
 
     def tick(self) -> None:
         """Give up what is too late, and look at all lines again."""
-        self.stations.drop_vanished()
+        self.engines.drop_vanished()
         self._recount()
-        for service, waiting in self._line_by_service.items():
+        for service, waiting in self._queue_by_service.items():
             waiting.fade()
             self.pump(service)
             self._expire(service, waiting)
@@ -163,15 +165,15 @@
         Args:
             service: The service.
         """
-        waiting = self._line_by_service[service]
+        waiting = self._queue_by_service[service]
         if not waiting.waiting_by_key:
             return
-        free = self.stations.list_free(service)
+        free = self.engines.list_free(service)
         if not free:
             # Nothing is ordered in vain: under overload this is the usual case.
             return
-        left = sum(here.count_free(self.stations.share) for here in free)
-        slots = self.stations.count_slots(service)
+        left = sum(here.count_free(self.engines.share) for here in free)
+        slots = self.engines.count_slots(service)
         for ticket in waiting.list_ordered(slots):
             if not free:
                 return
@@ -180,7 +182,7 @@
 
     def decide_rollout(
         self, service: str
-    ) -> tuple[advance.Advance, advance.State] | None:
+    ) -> tuple[progress.Progress, progress.State] | None:
         """Decide how a rollout goes on.
 
         Args:
@@ -190,8 +192,8 @@
             The rollout and what has to be reported of it, if anything.
         """
         order = self._view.rollouts_by_service[service]
-        running = self.stations.count_other_versions(service, order.version)
-        return self.advances.decide(service, running)
+        running = self.engines.count_other_versions(service, order.version)
+        return self.rollouts.decide(service, running)
 
     def count_waiting(self) -> int:
         """Count the requests that wait.
@@ -201,63 +203,65 @@
         """
         return sum(
             len(waiting.waiting_by_key)
-            for waiting in self._line_by_service.values()
+            for waiting in self._queue_by_service.values()
         )
 
     def _try_grant(
-        self, ticket: line.Ticket, free: list[station.Station]
+        self, ticket: waitqueue.Ticket, free: list[enginestate.EngineState]
     ) -> bool:
         here = self._choose(ticket.ask, free)
         if here is None:
             return False
         self._grant(ticket, here)
-        if not here.count_free(self.stations.share):
+        if not here.count_free(self.engines.share):
             free.remove(here)
         return True
 
-    def _grant(self, ticket: line.Ticket, here: station.Station) -> None:
-        waiting = self._line_by_service[ticket.ask.service]
+    def _grant(
+        self, ticket: waitqueue.Ticket, here: enginestate.EngineState
+    ) -> None:
+        waiting = self._queue_by_service[ticket.ask.service]
         waiting.waiting_by_key.pop(ticket.key)
-        waiting.pattern_by_route[ticket.ask.route].running += 1
+        waiting.stats_by_route[ticket.ask.route].running += 1
         here.start(ticket.key, ticket.ask)
-        self.advances.note_start(here.engine)
-        self._gate.note_start(ticket.ask)
+        self.rollouts.note_start(here.engine)
+        self._control.note_start(ticket.ask)
         self._log_grant(ticket, here)
         grant = ask.Grant(ticket.ask.number, here.engine.name)
         self._reply(ticket.key[0], grant)
 
-    def _find_outlook(self, entry: ask.Ask) -> gate.Outlook:
-        waiting = self._line_by_service[entry.service]
-        pattern = waiting.pattern_by_route[entry.route]
+    def _make_estimate(self, entry: ask.Ask) -> admit.Estimate:
+        waiting = self._queue_by_service[entry.service]
+        stats = waiting.stats_by_route[entry.route]
         idle = not waiting.waiting_by_key
-        return gate.Outlook(
+        return admit.Estimate(
             wait=self._estimate_wait(entry),
-            first=pattern.first_seconds,
-            idle=idle and bool(self.stations.list_free(entry.service)),
-            share=self.stations.share,
+            first=stats.first_seconds,
+            idle=idle and bool(self.engines.list_free(entry.service)),
+            share=self.engines.share,
         )
 
     def _estimate_wait(self, entry: ask.Ask) -> float | None:
-        slots = self.stations.count_slots(entry.service)
+        slots = self.engines.count_slots(entry.service)
         if not slots:
             return None
-        waiting = self._line_by_service[entry.service]
+        waiting = self._queue_by_service[entry.service]
         return waiting.estimate_wait(entry, slots)
 
     def _choose(
-        self, entry: ask.Ask, free: list[station.Station]
-    ) -> station.Station | None:
+        self, entry: ask.Ask, free: list[enginestate.EngineState]
+    ) -> enginestate.EngineState | None:
         rate = self._find_cold_rate(entry.service)
         allowed = [
             here
             for here in free
             if here.engine.name not in entry.avoided
-            and here.bears_cold(rate, self.stations.share)
-            and self.advances.allows(here.engine)
+            and here.bears_cold(rate, self.engines.share)
+            and self.rollouts.allows(here.engine)
         ]
         if not allowed:
             return None
-        preferred = self.advances.prefer(entry.service, allowed)
+        preferred = self.rollouts.prefer(entry.service, allowed)
         return min(
             preferred,
             key=lambda here: self._measure_cost(entry, here),
@@ -268,40 +272,45 @@
         found = held and held.services_by_name.get(service)
         return found.cold_rate if found else 0
 
-    def _measure_cost(self, entry: ask.Ask, here: station.Station) -> float:
+    def _measure_cost(
+        self, entry: ask.Ask, here: enginestate.EngineState
+    ) -> float:
         cost = FAILURE_SECONDS * here.failures
         if here.engine.zone != entry.zone:
             cost += ZONE_SECONDS
-        pattern = self._line_by_service[entry.service].pattern_by_route
-        run = pattern[entry.route].estimate_run(entry)
+        stats = self._queue_by_service[entry.service].stats_by_route
+        run = stats[entry.route].estimate_run(entry)
         cost += PACE_PART * run * here.pace
         if run * here.pace > entry.time_left:
             # It would not end in time here.
             cost += OVERTIME_SECONDS
-        used = len(here.run_by_key) / here.count_slots(self.stations.share)
+        used = len(here.run_by_key) / here.count_slots(self.engines.share)
         return cost + CROWD_SECONDS * used
 
     def _end_run(
-        self, here: station.Station, key: station.RunKey, report: ask.Report
+        self,
+        here: enginestate.EngineState,
+        key: enginestate.RunKey,
+        report: ask.Report,
     ) -> None:
         run = here.end(key, report)
         entry = run.ask
-        waiting = self._line_by_service[entry.service]
-        waiting.pattern_by_route[entry.route].running -= 1
+        waiting = self._queue_by_service[entry.service]
+        waiting.stats_by_route[entry.route].running -= 1
         if report.outcome in ask.UNSENT_OUTCOMES:
-            self._gate.refund(entry)
+            self._control.refund(entry)
         elif report.outcome is ask.Outcome.cut:
-            self._gate.note_break(entry, here.engine.name)
+            self._control.note_break(entry, here.engine.name)
         elif report.outcome is ask.Outcome.answered:
-            self._gate.note_answer(entry)
-            pattern = waiting.pattern_by_route[entry.route]
-            here.note_pace(pattern.measure_pace(report))
-            pattern.learn(entry, report)
-        self.advances.note_end(here, entry, report)
+            self._control.note_answer(entry)
+            stats = waiting.stats_by_route[entry.route]
+            here.note_pace(stats.measure_pace(report))
+            stats.learn(entry, report)
+        self.rollouts.note_end(here, entry, report)
         self.pump(entry.service)
 
     def _refuse(
-        self, key: station.RunKey, reason: ask.Reason, wait: float
+        self, key: enginestate.RunKey, reason: ask.Reason, wait: float
     ) -> None:
         retry = min(RETRY_CEILING_SECONDS, max(RETRY_FLOOR_SECONDS, wait))
         _LOG.write(
@@ -312,33 +321,35 @@
             estimated=round(wait, 3),
             retry_after=round(retry, 3),
             waiting=self.count_waiting(),
-            share=round(self.stations.share, 3),
+            share=round(self.engines.share, 3),
         )
         self._reply(key[0], ask.Refusal(key[1], reason, retry))
 
-    def _expire(self, service: str, waiting: line.Line) -> None:
-        slots = self.stations.count_slots(service)
+    def _expire(self, service: str, waiting: waitqueue.WaitQueue) -> None:
+        slots = self.engines.count_slots(service)
         for ticket, wait in waiting.list_hopeless(slots):
             waiting.waiting_by_key.pop(ticket.key)
-            self._gate.refund(ticket.ask)
-            self._gate.note_refusal(ticket.ask, ticket.goal)
+            self._control.refund(ticket.ask)
+            self._control.note_refusal(ticket.ask, ticket.goal)
             self._refuse(ticket.key, ask.Reason.expired, wait)
 
     def _recount(self) -> None:
         # Counts are made anew, as back ends and nodes vanish with runs.
-        for service, waiting in self._line_by_service.items():
-            counts = self.stations.count_running(service)
-            for route, pattern in waiting.pattern_by_route.items():
-                pattern.running = counts[route]
+        for service, waiting in self._queue_by_service.items():
+            counts = self.engines.count_running(service)
+            for route, stats in waiting.stats_by_route.items():
+                stats.running = counts[route]
 
     def _follow(self, kind: registry.Kind) -> None:
         if kind is registry.Kind.engines:
-            self.stations.follow()
-        self.advances.follow()
-        for service in list(self._line_by_service):
+            self.engines.follow()
+        self.rollouts.follow()
+        for service in list(self._queue_by_service):
             self.pump(service)
 
-    def _log_grant(self, ticket: line.Ticket, here: station.Station) -> None:
+    def _log_grant(
+        self, ticket: waitqueue.Ticket, here: enginestate.EngineState
+    ) -> None:
         waited = clock.read_monotonic() - ticket.arrived
         _LOG.write(
             'granted.',
--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -1,6 +1,6 @@
 """Tests of the broker under the loads that it is made for.
 
-Each test names the pattern of load that it answers.
+Each test names the stats of load that it answers.
 """
 
 import dataclasses
@@ -151,7 +151,7 @@
     world.add_engine('e0', 1, 1)
     world.broker.submit('other/1', msgspec.structs.replace(page, number=2))
     world.broker.finish('other/1', ask.Report(2, ask.Outcome.answered))
-    assert world.broker._gate.recall(page) == page
+    assert world.broker._control.recall(page) == page
 
 
 def test_last_slots_are_kept_for_urgent_requests() -> None:
@@ -275,7 +275,7 @@
     if gone:
         world.broker.drop_owner('other/1')
     load.play(5)
-    by_engine = world.broker.stations.by_engine
+    by_engine = world.broker.engines.by_engine
     free = by_engine['e0'].count_free(1)
     assert free == int(gone)
 
@@ -293,7 +293,7 @@
         if isinstance(reply, ask.Grant):
             engines.append(reply.engine)
             world.broker.finish('other/1', ask.Report(number, ask.Outcome.cut))
-            by_engine = world.broker.stations.by_engine
+            by_engine = world.broker.engines.by_engine
             by_engine[reply.engine].paused_until = 1e9
     assert len(set(engines)) == 3
     assert reply.reason is ask.Reason.suspect
--- a/pimentoway/ops/station.py
+++ b/pimentoway/ops/enginestate.py
@@ -50,7 +50,7 @@
 RunKey = tuple[str, int]
 
 
-class Station:
+class EngineState:
     """A back end as the broker sees it.
 
     Attributes:
--- a/pimentoway/ops/station_test.py
+++ b/pimentoway/ops/enginestate_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentoway.core import deployment
-from pimentoway.ops import ask, station
+from pimentoway.ops import ask, enginestate
 from pimentoway.standin import paused_loop
 
 ENGINE = deployment.Engine('e', 's', '1.1.1.1:1', 'z', 'v1', 6, False, 0, 1)
@@ -30,7 +30,7 @@
 
 
 def run(
-    here: station.Station, outcome: ask.Outcome, **told: int | float
+    here: enginestate.EngineState, outcome: ask.Outcome, **told: int | float
 ) -> None:
     """Run one request.
 
@@ -50,12 +50,12 @@
 )
 def test_faults_in_a_row_pause(outcome: ask.Outcome) -> None:
     """Two faults in a row pause a back end; one trial brings it back."""
-    here = station.Station(ENGINE)
+    here = enginestate.EngineState(ENGINE)
     run(here, outcome)
     assert here.count_free(1) == 6
     run(here, outcome)
     assert not here.count_free(1)
-    paused_loop.advance(station.PAUSE_SECONDS + 0.01)
+    paused_loop.advance(enginestate.PAUSE_SECONDS + 0.01)
     assert here.count_free(1) == 1
     run(here, ask.Outcome.answered)
     assert here.count_free(1) == 6
@@ -63,23 +63,23 @@
 
 def test_refused_connection_pauses_at_once() -> None:
     """A back end that can't be reached gets nothing for a while."""
-    here = station.Station(ENGINE)
+    here = enginestate.EngineState(ENGINE)
     run(here, ask.Outcome.unreachable)
     assert not here.count_free(1)
 
 
 def test_pauses_grow_to_a_bound() -> None:
     """A back end that stays away is tried every two seconds."""
-    here = station.Station(ENGINE)
+    here = enginestate.EngineState(ENGINE)
     for _ in range(9):
         run(here, ask.Outcome.unreachable)
-    paused_loop.advance(station.LONGEST_PAUSE_SECONDS + 0.01)
+    paused_loop.advance(enginestate.LONGEST_PAUSE_SECONDS + 0.01)
     assert here.count_free(1) == 1
 
 
 def test_failures_are_no_reason_to_pause() -> None:
     """A back end that answers with failures is up, and is avoided."""
-    here = station.Station(ENGINE)
+    here = enginestate.EngineState(ENGINE)
     for _ in range(5):
         run(here, ask.Outcome.failed)
     assert here.count_free(1) == 6
@@ -88,7 +88,7 @@
 
 def test_new_start_forgets_the_old_one() -> None:
     """A back end that starts anew knows nothing of before."""
-    here = station.Station(ENGINE)
+    here = enginestate.EngineState(ENGINE)
     here.start(('n', 1), ENTRY)
     run(here, ask.Outcome.unreachable)
     renewed = dataclasses.replace(ENGINE, born=2)
@@ -98,17 +98,17 @@
 
 def test_load_of_others_is_seen() -> None:
     """What a back end runs for others takes slots for a while."""
-    here = station.Station(ENGINE)
+    here = enginestate.EngineState(ENGINE)
     run(here, ask.Outcome.answered, running=4, waiting=1)
     assert here.count_slots(1) == 2
-    paused_loop.advance(station.LOAD_SECONDS + 0.1)
+    paused_loop.advance(enginestate.LOAD_SECONDS + 0.1)
     assert here.count_slots(1) == 6
     assert here.count_slots(0.5) == 3
 
 
 def test_cold_start_is_told_by_answers_too() -> None:
     """A back end that falls back into a cold start bears its rate only."""
-    here = station.Station(ENGINE)
+    here = enginestate.EngineState(ENGINE)
     run(here, ask.Outcome.answered, cold=2.0)
     starts = 0
     while here.bears_cold(17, 1) and starts < 50:
@@ -122,7 +122,7 @@
 
 def test_parts_of_a_cold_rate() -> None:
     """A broker that some nodes ask gives out its part of the rate."""
-    here = station.Station(dataclasses.replace(ENGINE, cold_seconds=9))
+    here = enginestate.EngineState(dataclasses.replace(ENGINE, cold_seconds=9))
     starts = 0
     while here.bears_cold(17, 0.5) and starts < 50:
         here.start(('n', starts), ENTRY)
--- a/pimentoway/ops/stationtable.py
+++ b/pimentoway/ops/enginetable.py
@@ -3,14 +3,14 @@
 import collections
 
 from pimentoway.core import clock
-from pimentoway.ops import ask, station, view
+from pimentoway.ops import ask, enginestate, view
 
 #: Seconds for which the runs of a node that vanished are counted: back ends
 #: stop soon after a connection is gone.
 VANISHED_SECONDS = 1.5
 
 
-class StationTable:
+class EngineTable:
     """The back ends.
 
     Attributes:
@@ -25,7 +25,7 @@
             known: The view.
         """
         self.share: float = 1
-        self.by_engine: dict[str, station.Station] = {}
+        self.by_engine: dict[str, enginestate.EngineState] = {}
         self._view = known
         self._vanished_by_owner: dict[str, float] = {}
         self.follow()
@@ -38,11 +38,11 @@
         for name, engine in known.items():
             here = self.by_engine.get(name)
             if here is None:
-                self.by_engine[name] = station.Station(engine)
+                self.by_engine[name] = enginestate.EngineState(engine)
             else:
                 here.update(engine)
 
-    def list_usable(self, service: str) -> list[station.Station]:
+    def list_usable(self, service: str) -> list[enginestate.EngineState]:
         """List the back ends of a service that may get requests.
 
         Args:
@@ -58,7 +58,7 @@
             and self._view.is_usable(here.engine)
         ]
 
-    def list_free(self, service: str) -> list[station.Station]:
+    def list_free(self, service: str) -> list[enginestate.EngineState]:
         """List the back ends of a service with free slots.
 
         Args:
@@ -118,7 +118,7 @@
             if here.engine.service == service and here.engine.version != version
         )
 
-    def find(self, key: station.RunKey) -> station.Station | None:
+    def find(self, key: enginestate.RunKey) -> enginestate.EngineState | None:
         """Find the back end of a run.
 
         Args:
@@ -152,7 +152,7 @@
             key = (owner, run.ask.number)
             if here and key not in here.run_by_key:
                 started = clock.read_monotonic()
-                here.run_by_key[key] = station.Run(run.ask, started)
+                here.run_by_key[key] = enginestate.Run(run.ask, started)
         return self._vanished_by_owner.pop(owner, None) is not None
 
     def note_vanished(self, owner: str) -> None:
--- a/pimentoway/ops/advance.py
+++ b/pimentoway/ops/progress.py
@@ -11,7 +11,7 @@
 import enum
 
 from pimentoway.core import clock, deployment, log, place
-from pimentoway.ops import ask, station, verdict, view
+from pimentoway.ops import ask, enginestate, verdict, view
 
 #: The share of a new version while little is known of it, as a part of the
 #: share of requests that a bad version may get.
@@ -84,7 +84,7 @@
 
 
 @dataclasses.dataclass
-class Advance:
+class Progress:
     """A rollout as the broker sees it.
 
     Attributes:
@@ -146,7 +146,7 @@
         )
 
 
-class AdvanceTable:
+class ProgressTable:
     """The rollouts of all services."""
 
     def __init__(self, bounds: place.Bounds, known: view.View) -> None:
@@ -158,20 +158,20 @@
         """
         self._bounds = bounds
         self._view = known
-        self._advance_by_service: dict[str, Advance] = {}
+        self._progress_by_service: dict[str, Progress] = {}
         self._versions_by_service: dict[str, set[str]] = {}
 
     def follow(self) -> None:
         """Follow a change of the view."""
         orders = self._view.rollouts_by_service
-        for service in set(self._advance_by_service).difference(orders):
-            self._advance_by_service.pop(service)
+        for service in set(self._progress_by_service).difference(orders):
+            self._progress_by_service.pop(service)
         for service, order in orders.items():
-            held = self._advance_by_service.get(service)
+            held = self._progress_by_service.get(service)
             if held and held.order.identity == order.identity:
                 held.order = order
             else:
-                self._advance_by_service[service] = Advance(
+                self._progress_by_service[service] = Progress(
                     order,
                     clock.read_monotonic(),
                     self._bounds.exposure_slack * TRIAL_SLACK_PART,
@@ -191,7 +191,7 @@
         Returns:
             Whether its version may.
         """
-        held = self._advance_by_service.get(engine.service)
+        held = self._progress_by_service.get(engine.service)
         if held is None:
             return True
         new = engine.version == held.order.version
@@ -206,8 +206,8 @@
         return not new or held.has_room()
 
     def prefer(
-        self, service: str, allowed: list[station.Station]
-    ) -> list[station.Station]:
+        self, service: str, allowed: list[enginestate.EngineState]
+    ) -> list[enginestate.EngineState]:
         """Prefer the new version while it has not got its share.
 
         Args:
@@ -217,7 +217,7 @@
         Returns:
             Those that should get it.
         """
-        held = self._advance_by_service.get(service)
+        held = self._progress_by_service.get(service)
         if held is None:
             return allowed
         newer = [
@@ -233,13 +233,13 @@
         Args:
             engine: The back end that gets it.
         """
-        held = self._advance_by_service.get(engine.service)
+        held = self._progress_by_service.get(engine.service)
         if held:
             held.starts += 1
             held.new_starts += engine.version == held.order.version
 
     def note_end(
-        self, here: station.Station, entry: ask.Ask, report: ask.Report
+        self, here: enginestate.EngineState, entry: ask.Ask, report: ask.Report
     ) -> None:
         """Learn from an answer.
 
@@ -248,7 +248,7 @@
             entry: The ask.
             report: What became of the run.
         """
-        held = self._advance_by_service.get(entry.service)
+        held = self._progress_by_service.get(entry.service)
         if held is None:
             return
         new = here.engine.version == held.order.version
@@ -265,7 +265,7 @@
 
     def decide(
         self, service: str, old_running: int
-    ) -> tuple[Advance, State] | None:
+    ) -> tuple[Progress, State] | None:
         """Decide how a rollout goes on.
 
         Args:
@@ -275,7 +275,7 @@
         Returns:
             The rollout and what has to be reported of it, if anything.
         """
-        held = self._advance_by_service.get(service)
+        held = self._progress_by_service.get(service)
         if held is None:
             return None
         state = held.order.state
@@ -294,23 +294,27 @@
         Returns:
             The services.
         """
-        return list(self._advance_by_service)
+        return list(self._progress_by_service)
 
     def _is_slow(
-        self, held: Advance, here: station.Station, entry: ask.Ask, pace: float
+        self,
+        held: Progress,
+        here: enginestate.EngineState,
+        entry: ask.Ask,
+        pace: float,
     ) -> bool:
         if here.is_cold() or here.measure_age() < WARMING_SECONDS:
             return False
         usual = held.find_tally(False, entry.route).pace
         return bool(usual) and pace > SLOW_RATIO * usual
 
-    def _count(self, held: Advance, route: str, new: bool, bad: bool) -> None:
+    def _count(self, held: Progress, route: str, new: bool, bad: bool) -> None:
         # A version may be bad on one route or a little on all of them.
         self._count_subject(held, route, new, bad)
         self._count_subject(held, ALL_ROUTES, new, bad)
 
     def _count_subject(
-        self, held: Advance, route: str, new: bool, bad: bool
+        self, held: Progress, route: str, new: bool, bad: bool
     ) -> None:
         tally = held.find_tally(new, route)
         news = verdict.Count(int(not bad), int(bad))
@@ -333,7 +337,7 @@
                 starts=held.new_starts,
             )
 
-    def _raise_share(self, held: Advance) -> None:
+    def _raise_share(self, held: Progress) -> None:
         share = self._find_share(held)
         if share <= held.share:
             return
@@ -350,7 +354,7 @@
             new_starts=held.new_starts,
         )
 
-    def _find_share(self, held: Advance) -> float:
+    def _find_share(self, held: Progress) -> float:
         part = (clock.read_monotonic() - held.started) / held.order.seconds
         good = held.count_good()
         needed = LEAST_ANSWERS if part >= FEW_PART else MOVE_ANSWERS
@@ -360,7 +364,7 @@
             return RAMP_SHARE
         return self._bounds.exposure_share * TRIAL_PART
 
-    def _is_complete(self, held: Advance, old_running: int) -> bool:
+    def _is_complete(self, held: Progress, old_running: int) -> bool:
         if not held.moved:
             return False
         now = clock.read_monotonic()
--- a/pimentoway/ops/advance_test.py
+++ b/pimentoway/ops/progress_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentoway.core import deployment, place, registry
-from pimentoway.ops import advance, ask, station, view
+from pimentoway.ops import ask, enginestate, progress, view
 from pimentoway.standin import paused_loop
 
 ORDER = deployment.Rollout('s', 'v2', 12, 'o1', '', 3)
@@ -48,17 +48,17 @@
         """
         self.away = False
         self.known = view.View()
-        self.table = advance.AdvanceTable(place.Bounds(), self.known)
-        self.states: list[advance.State] = []
+        self.table = progress.ProgressTable(place.Bounds(), self.known)
+        self.states: list[progress.State] = []
         self.new_starts = 0
         self.starts = 0
         self._revision = 0
         self._random = random.Random(1)
-        self._stations = {
-            version: station.Station(self._make_engine(version))
+        self._states = {
+            version: enginestate.EngineState(self._make_engine(version))
             for version in ('v1', 'v2')
         }
-        for here in self._stations.values():
+        for here in self._states.values():
             self._change(registry.Kind.engines, here.engine.name, here.engine)
         self._change(registry.Kind.rollouts, 's', order)
         paused_loop.advance(0)
@@ -94,16 +94,16 @@
             self._end(here, route, bad, pace if new else 1)
             self._decide()
 
-    def _choose(self) -> station.Station:
+    def _choose(self) -> enginestate.EngineState:
         allowed = [
             here
-            for here in self._stations.values()
+            for here in self._states.values()
             if self.table.allows(here.engine)
         ]
         return self.table.prefer('s', allowed)[0]
 
     def _end(
-        self, here: station.Station, route: str, bad: bool, pace: float
+        self, here: enginestate.EngineState, route: str, bad: bool, pace: float
     ) -> None:
         outcome = ask.Outcome.failed if bad else ask.Outcome.answered
         report = ask.Report(1, outcome, 0.1 * pace, 0.3 * pace, 10)
@@ -147,7 +147,7 @@
     """A good version gets everything before its promised time."""
     rollout = Rollout()
     rollout.run(ORDER.seconds)
-    assert rollout.states == [advance.State.active, advance.State.complete]
+    assert rollout.states == [progress.State.active, progress.State.complete]
 
 
 @pytest.mark.parametrize(
@@ -162,7 +162,7 @@
     """A failing, half failing or slow version gets little and is reverted."""
     rollout = Rollout()
     rollout.run(ORDER.seconds, **fault)
-    assert rollout.states == [advance.State.active, advance.State.reverted]
+    assert rollout.states == [progress.State.active, progress.State.reverted]
     bounds = place.Bounds()
     limit = bounds.exposure_share * rollout.starts + bounds.exposure_slack
     assert rollout.new_starts <= limit
@@ -171,10 +171,10 @@
 def test_version_that_turns_bad_is_taken_back() -> None:
     """A version that fails once it carries everything is reverted."""
     rollout = Rollout()
-    rollout.run(ORDER.seconds * advance.MOVE_PART + 0.3)
+    rollout.run(ORDER.seconds * progress.MOVE_PART + 0.3)
     before = rollout.new_starts
     rollout.run(4, bad_part=0.5)
-    assert rollout.states[-1] is advance.State.reverted
+    assert rollout.states[-1] is progress.State.reverted
     assert rollout.new_starts - before < 50
 
 
@@ -183,7 +183,7 @@
     rollout = Rollout()
     rollout.away = True
     rollout.run(ORDER.seconds, bad_part=1)
-    assert rollout.states[-1] is advance.State.reverted
+    assert rollout.states[-1] is progress.State.reverted
     before = rollout.new_starts
     rollout.run(3)
     assert rollout.new_starts == before
@@ -192,18 +192,18 @@
 def test_failures_of_both_versions_condemn_none() -> None:
     """Errors that the old version has too are no evidence."""
     rollout = Rollout()
-    old = rollout._stations['v1']
+    old = rollout._states['v1']
     for number in range(100):
         rollout._end(old, f'r{number % 4}', number % 3 == 0, 1)
     rollout.run(ORDER.seconds, bad_part=0.33)
-    assert advance.State.reverted not in rollout.states
+    assert progress.State.reverted not in rollout.states
 
 
 def test_few_answers_are_not_enough() -> None:
     """A version that got hardly any requests is not completed."""
     rollout = Rollout()
     rollout.run(ORDER.seconds, rate=0.3)
-    assert advance.State.complete not in rollout.states
+    assert progress.State.complete not in rollout.states
 
 
 def test_reported_state_binds_a_new_broker() -> None:
--- a/pimentoway/ops/admission.py
+++ b/pimentoway/ops/slotclient.py
@@ -15,7 +15,7 @@
 #: broker refuses in time unless it is gone.
 SPARE_SECONDS = 0.05
 
-_LOG = log.Log('admission')
+_LOG = log.Log('slots')
 
 Send = collections.abc.Callable[[object], None]
 
@@ -68,7 +68,7 @@
     remote: bool
 
 
-class Admission:
+class SlotClient:
     """Asks for slots for the requests of one node.
 
     Attributes:
--- a/pimentoway/ops/admission_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pimentoway.core import error, place
-from pimentoway.ops import admission, ask, broker
+from pimentoway.ops import ask, broker, slotclient
 from pimentoway.standin import load
 
 OWNER = 'n1/1'
@@ -41,7 +41,7 @@
     def __init__(self) -> None:
         """Start with one back end of two slots."""
         self.lost = False
-        self.slots = admission.Admission(OWNER, 8)
+        self.slots = slotclient.SlotClient(OWNER, 8)
         self.view = load.World(speeds=(1,), slots=2).view
         bounds = place.Bounds()
         self.local = broker.Broker(bounds, self.view, self._reply)
@@ -100,7 +100,7 @@
         Returns:
             The slots.
         """
-        return where.stations.by_engine['e0'].count_free(1)
+        return where.engines.by_engine['e0'].count_free(1)
 
     def _reply(self, owner: str, content: ask.Grant | ask.Refusal) -> None:
         if not self.lost:
--- a/pimentoway/ops/line.py
+++ b/pimentoway/ops/waitqueue.py
@@ -11,7 +11,7 @@
 import math
 
 from pimentoway.core import clock
-from pimentoway.ops import ask, station
+from pimentoway.ops import ask, enginestate
 
 #: How much more an answer of one tier is worth than one of the next tier.
 #: The tiers of the deployments seen differ by a factor of two to three.
@@ -74,7 +74,7 @@
         patience: When its caller leaves if nothing came.
     """
 
-    key: station.RunKey
+    key: enginestate.RunKey
     ask: ask.Ask
     arrived: float
     goal: float
@@ -83,7 +83,7 @@
 
 
 @dataclasses.dataclass
-class Pattern:
+class RouteStats:
     """What is known of the requests of one route.
 
     Attributes:
@@ -205,19 +205,19 @@
         )
 
 
-class Line:
+class WaitQueue:
     """The waiting requests of one service.
 
     Attributes:
         waiting_by_key: The requests.
-        pattern_by_route: What is known of each route.
+        stats_by_route: What is known of each route.
     """
 
     def __init__(self) -> None:
         """Start empty."""
-        self.waiting_by_key: dict[station.RunKey, Ticket] = {}
-        self.pattern_by_route: dict[str, Pattern] = collections.defaultdict(
-            Pattern
+        self.waiting_by_key: dict[enginestate.RunKey, Ticket] = {}
+        self.stats_by_route: dict[str, RouteStats] = collections.defaultdict(
+            RouteStats
         )
         self._faded = clock.read_monotonic()
 
@@ -227,14 +227,14 @@
         Args:
             entry: The ask.
         """
-        pattern = self.pattern_by_route[entry.route]
-        pattern.rank = entry.rank
+        stats = self.stats_by_route[entry.route]
+        stats.rank = entry.rank
         if entry.size:
-            change = entry.size - (pattern.size or entry.size)
-            pattern.size = (pattern.size or entry.size) + SMOOTHING * change
+            change = entry.size - (stats.size or entry.size)
+            stats.size = (stats.size or entry.size) + SMOOTHING * change
         # One that comes back late does not compete with newcomers.
-        if entry.goal_left > pattern.first_seconds:
-            pattern.asked += 1
+        if entry.goal_left > stats.first_seconds:
+            stats.asked += 1
 
     def add(self, ticket: Ticket) -> None:
         """Let a request wait.
@@ -249,8 +249,8 @@
         now = clock.read_monotonic()
         factor = FADING ** (now - self._faded)
         self._faded = now
-        for pattern in self.pattern_by_route.values():
-            pattern.asked *= factor
+        for stats in self.stats_by_route.values():
+            stats.asked *= factor
 
     def list_ordered(self, slots: int) -> list[Ticket]:
         """List the waiting requests, the most urgent first.
@@ -264,7 +264,7 @@
         now = clock.read_monotonic()
         short = {
             route
-            for route in self.pattern_by_route
+            for route in self.stats_by_route
             if self._is_short(route, slots)
         }
         return sorted(
@@ -285,8 +285,8 @@
         """
         if self._is_short(route, slots):
             return True
-        patterns = self.pattern_by_route
-        highest = min(pattern.rank for pattern in patterns.values())
+        patterns = self.stats_by_route
+        highest = min(stats.rank for stats in patterns.values())
         tiers = min(patterns[route].rank - highest, RESERVING_TIERS)
         return free > round(tiers * RESERVED_PART * slots)
 
@@ -304,12 +304,12 @@
         work: float = 0
         for ticket in self.list_ordered(slots):
             worth = self._measure_worth(ticket, now)
-            pattern = self.pattern_by_route[ticket.ask.route]
+            stats = self.stats_by_route[ticket.ask.route]
             wait = self._divide(work, ticket.ask.route, worth, slots)
             if self._is_over(ticket, now + wait):
                 hopeless.append((ticket, wait))
             else:
-                work += pattern.estimate_run(ticket.ask)
+                work += stats.estimate_run(ticket.ask)
         return hopeless
 
     def estimate_wait(self, entry: ask.Ask, slots: int) -> float:
@@ -322,12 +322,12 @@
         Returns:
             The seconds.
         """
-        pattern = self.pattern_by_route[entry.route]
-        late = pattern.first_seconds > entry.goal_left
-        worth = pattern.measure_worth(entry, late)
+        stats = self.stats_by_route[entry.route]
+        late = stats.first_seconds > entry.goal_left
+        worth = stats.measure_worth(entry, late)
         now = clock.read_monotonic()
         work = sum(
-            self.pattern_by_route[one.ask.route].estimate_run(one.ask)
+            self.stats_by_route[one.ask.route].estimate_run(one.ask)
             for one in self.waiting_by_key.values()
             if self._measure_worth(one, now) >= worth
         )
@@ -340,7 +340,7 @@
         if route not in short:
             return True, -self._measure_worth(ticket, now), ticket.goal
         # The guaranteed part is for all of a route, long ones included.
-        worth = self.pattern_by_route[route].measure_usual_worth()
+        worth = self.stats_by_route[route].measure_usual_worth()
         if self._is_late(ticket, now):
             worth *= LATE_PART
         return False, -worth, ticket.goal
@@ -353,26 +353,26 @@
         # More urgent requests go on coming, and go first.
         urgent = sum(
             other.measure_load()
-            for other in self.pattern_by_route.values()
+            for other in self.stats_by_route.values()
             if other.measure_usual_worth() > worth
         )
-        guaranteed = self.pattern_by_route[route].count_guaranteed(slots)
+        guaranteed = self.stats_by_route[route].count_guaranteed(slots)
         return work / max(slots - urgent, guaranteed, LEAST_SLOTS)
 
     def _is_short(self, route: str, slots: int) -> bool:
-        pattern = self.pattern_by_route[route]
-        return pattern.running < pattern.count_guaranteed(slots)
+        stats = self.stats_by_route[route]
+        return stats.running < stats.count_guaranteed(slots)
 
     def _measure_worth(self, ticket: Ticket, now: float) -> float:
-        pattern = self.pattern_by_route[ticket.ask.route]
-        return pattern.measure_worth(ticket.ask, self._is_late(ticket, now))
+        stats = self.stats_by_route[ticket.ask.route]
+        return stats.measure_worth(ticket.ask, self._is_late(ticket, now))
 
     def _is_late(self, ticket: Ticket, now: float) -> bool:
-        first = self.pattern_by_route[ticket.ask.route].first_seconds
+        first = self.stats_by_route[ticket.ask.route].first_seconds
         return now + first > ticket.goal
 
     def _is_over(self, ticket: Ticket, start: float) -> bool:
-        pattern = self.pattern_by_route[ticket.ask.route]
-        if start + pattern.first_seconds > ticket.patience:
+        stats = self.stats_by_route[ticket.ask.route]
+        if start + stats.first_seconds > ticket.patience:
             return True
-        return start + pattern.first_seconds > ticket.deadline
+        return start + stats.first_seconds > ticket.deadline
--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -143,7 +143,7 @@
     # Counts the writes of the back end, and nothing else.
     sequence: int
     born: int | None = msgspec.field(default=None, name='born')
-    # Only model engines have these; another type marks a foreign writer.
+    # Only model engines have these; another type info a foreign writer.
     stage: str = ''
     models: list[dict[str, object]] = []
 
--- a/pimentoway/platform/wire.py
+++ b/pimentoway/platform/wire.py
@@ -143,35 +143,35 @@
     return call.Prompt(prompt, output, hinted)
 
 
-def write_request(errand: call.Errand) -> bytes:
+def write_request(dispatch: call.Dispatch) -> bytes:
     """Encode a request for a back end.
 
     Args:
-        errand: The request and where it goes.
+        dispatch: The request and where it goes.
 
     Returns:
         The bytes of its head.
     """
-    request = errand.request
+    request = dispatch.request
     lines = [b'%s %s HTTP/1.1' % (request.method.encode(), request.target)]
     lines.extend(
         b'%s: %s' % (name, text)
         for name, text in request.headers
-        if not (errand.after_event and name.lower() == _EVENT_ID)
+        if not (dispatch.after_event and name.lower() == _EVENT_ID)
     )
-    seconds = max(errand.seconds, 0)
+    seconds = max(dispatch.seconds, 0)
     lines.append(b'%s: %d' % (_DEADLINE_NAME, seconds * MILLISECONDS))
-    lines.append(b'%s: %s' % (_ENGINE_NAME, errand.engine.name.encode()))
-    if errand.customer:
-        lines.append(b'%s: %s' % (_CUSTOMER_NAME, errand.customer.encode()))
-    if errand.after_event:
-        lines.append(b'%s: %s' % (_EVENT_ID_NAME, errand.after_event))
+    lines.append(b'%s: %s' % (_ENGINE_NAME, dispatch.engine.name.encode()))
+    if dispatch.customer:
+        lines.append(b'%s: %s' % (_CUSTOMER_NAME, dispatch.customer.encode()))
+    if dispatch.after_event:
+        lines.append(b'%s: %s' % (_EVENT_ID_NAME, dispatch.after_event))
     if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(b'Content-Length: %d' % len(request.body))
     return b'%s\r\n\r\n' % b'\r\n'.join(lines)
 
 
-def read_marks(answer: message.Answer) -> call.Marks:
+def read_notes(answer: message.Answer) -> call.AnswerNotes:
     """Decode what a back end says beside its answer.
 
     Args:
@@ -181,7 +181,7 @@
         What it says.
     """
     texts_by_name = {name.lower(): text for name, text in answer.headers}
-    return call.Marks(
+    return call.AnswerNotes(
         request_id=texts_by_name.get(_REQUEST_ID, b'').decode('latin-1'),
         sealed=_SEAL in texts_by_name,
         not_run=_NOT_RUN in texts_by_name or answer.status == _MISDIRECTED,
@@ -223,6 +223,6 @@
 DIALECT = call.Dialect(
     read_request=read_request,
     write_request=write_request,
-    read_marks=read_marks,
+    read_notes=read_notes,
     ready_path=READY_PATH,
 )
--- a/pimentoway/platform/wire_test.py
+++ b/pimentoway/platform/wire_test.py
@@ -40,8 +40,8 @@
     Returns:
         The lines of its head.
     """
-    errand = call.Errand(request, ENGINE, 'studio', 1.25, after)
-    return wire.write_request(errand).split(b'\r\n')
+    dispatch = call.Dispatch(request, ENGINE, 'studio', 1.25, after)
+    return wire.write_request(dispatch).split(b'\r\n')
 
 
 def test_request_is_decoded() -> None:
@@ -138,7 +138,7 @@
         read(head=head)
 
 
-def read_marks(head: bytes) -> call.Marks:
+def read_notes(head: bytes) -> call.AnswerNotes:
     """Read what a back end says beside an answer.
 
     Args:
@@ -149,17 +149,17 @@
     """
     reader = message.AnswerReader()
     reader.feed(b'%s\r\nContent-Length: 0\r\n\r\n' % head)
-    return wire.read_marks(reader.answers[0])
+    return wire.read_notes(reader.answers[0])
 
 
 def test_marks_are_decoded() -> None:
     """Load, times and the signature are found."""
-    marks = read_marks(
+    notes = read_notes(
         b'HTTP/1.1 200 OK\r\nPimentoway-Attempt-Id: a1\r\n'
         b'Pimentoway-Response-Seal: s\r\nPimentoway-Instance-Load: 3,1,6\r\n'
         b'Keep-Alive: timeout=5, max=9\r\nPimentoway-Cold-Ms: 1500',
     )
-    assert marks == call.Marks(
+    assert notes == call.AnswerNotes(
         'a1', True, False, call.Load(3, 1, 6), 5, 1.5, False
     )
 
@@ -175,16 +175,16 @@
 )
 def test_only_the_back_end_says_not_run(head: bytes, not_run: bool) -> None:
     """A failure counts as run unless the back end says otherwise."""
-    assert read_marks(head).not_run is not_run
+    assert read_notes(head).not_run is not_run
 
 
 def test_unreadable_hints_are_none() -> None:
     """A load or a time that can't be read is as good as none."""
-    marks = read_marks(
+    notes = read_notes(
         b'HTTP/1.1 200 OK\r\nPimentoway-Instance-Load: many\r\n'
         b'Keep-Alive: max=3\r\nPimentoway-Cold-Ms: long',
     )
-    assert (marks.load, marks.idle_seconds, marks.cold_seconds) == (
+    assert (notes.load, notes.idle_seconds, notes.cold_seconds) == (
         None,
         None,
         None,
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -22,7 +22,7 @@
     task,
 )
 from pimentoway.nodes import election, frame, link
-from pimentoway.ops import admission, ask, broker, follow, view
+from pimentoway.ops import ask, broker, follow, slotclient, view
 
 #: Seconds between two looks of the broker at its lines.
 TICK_SECONDS = 0.05
@@ -107,7 +107,9 @@
         self._platform = platform
         self._boot = uuid.uuid4().hex[:8]
         self._owner = f'{here.name}/{self._boot}'
-        self.slots = admission.Admission(self._owner, here.bounds.quota_window)
+        self.slots = slotclient.SlotClient(
+            self._owner, here.bounds.quota_window
+        )
         self.broker = broker.Broker(here.bounds, self.view, self._reply)
         self.slots.use_local(self.broker)
         self._links = link.LinkServer(self.view, self._take, self._lose)
@@ -263,8 +265,8 @@
         asking = len(self._links.link_by_owner) + (not self.slots.is_remote)
         peers = max(1, len(self.view.peers_by_name))
         share = min(1.0, max(1, asking) / peers)
-        if share != self.broker.stations.share:
-            self.broker.stations.share = share
+        if share != self.broker.engines.share:
+            self.broker.engines.share = share
             _LOG.write('share.', share=round(share, 3), peers=peers)
 
     def _run_ticks(self) -> None:
@@ -284,7 +286,7 @@
     def _leads(self) -> bool:
         return (
             not self.slots.is_remote
-            and self.broker.stations.share >= LEADING_SHARE
+            and self.broker.engines.share >= LEADING_SHARE
         )
 
     def _remove_dead(self) -> None:
@@ -336,16 +338,16 @@
         while True:
             gevent.sleep(ROLLOUT_SECONDS)
             if self._leads():
-                for service in self.broker.advances.list_services():
+                for service in self.broker.rollouts.list_services():
                     self._decide_rollout(service)
 
     def _decide_rollout(self, service: str) -> None:
         decided = self.broker.decide_rollout(service)
         if decided is None:
             return
-        advance, state = decided
+        progress, state = decided
         try:
-            self._platform.registry.report_rollout(advance.order, state.value)
+            self._platform.registry.report_rollout(progress.order, state.value)
         except error.PlatformError as fault:
             _LOG.write(
                 'a rollout was not reported.',
--- a/pimentoway/tools/edge_entry.py
+++ b/pimentoway/tools/edge_entry.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent import event as gevent_event
 
-from pimentoway.core import error, log, outlet
+from pimentoway.core import error, log, logsink
 from pimentoway.platform import setting, store, wire
 from pimentoway.tools import edge
 
@@ -29,8 +29,8 @@
     except error.SettingError as fault:
         sys.stderr.write(f'{fault}\n')
         return WRONG_STATUS
-    lines = outlet.Outlet(STANDARD_OUTPUT)
-    log.open_outlet(lines)
+    lines = logsink.LogSink(STANDARD_OUTPUT)
+    log.open_sink(lines)
     gevent.spawn(lines.run)
     platform = edge.Platform(
         store.PlatformRegistry(here.store),
