--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -35,7 +35,8 @@
 #: The cost, in seconds, of a back end too slow for the request to end in time.
 OVERTIME_SECONDS = 0.3
 
-#: The shortest and the longest time after which a caller is asked to return.
+#: The shortest and the longest time, in seconds, after which a caller is asked
+#: to return: a few runs, and the length of a burst.
 RETRY_FLOOR_SECONDS = 0.15
 RETRY_CEILING_SECONDS = 3.0
 
--- a/pimentoway/ops/waitqueue.py
+++ b/pimentoway/ops/waitqueue.py
@@ -30,12 +30,15 @@
 LARGEST_RATIO = 1.7
 
 #: The part of the slots that a route asks for that it gets whatever others
-#: ask for, and the part of all slots that this takes at the most.
+#: ask for, and the part of all slots that this takes at the most. A route
+#: served less than a quarter as often as all counts as starved; with no bound
+#: long answers took half of all slots in a burst.
 GUARANTEED_PART = 0.25
 GUARANTEED_SLOTS_PART = 0.12
 
 #: The part of the slots that stays free for each tier that a request is
-#: below the highest, and the tiers that count.
+#: below the highest, and the tiers that count: one slot of 24 for a tier, about
+#: what comes free while an urgent request is on its way.
 RESERVED_PART = 0.04
 RESERVING_TIERS = 3
 
@@ -43,7 +46,8 @@
 #: some seconds.
 FADING = 0.75
 
-#: The seconds that a run is taken to last before one was seen.
+#: The seconds that a run is taken to last before one was seen: a long prompt
+#: with a short answer at an engine of usual speed.
 DEFAULT_RUN_SECONDS = 0.4
 
 #: The seconds to the first event before one was seen.
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -24,7 +24,8 @@
 from pimentoway.nodes import election, frame, link
 from pimentoway.ops import ask, broker, follow, slotclient, view
 
-#: Seconds between two looks of the broker at its lines.
+#: Seconds between two looks of the broker at its queues: an eighth of the
+#: shortest goal.
 TICK_SECONDS = 0.05
 
 #: Seconds between two sweeps of idle connections.
@@ -47,7 +48,8 @@
 #: to remove nodes.
 LEADING_SHARE = 0.5
 
-#: Seconds after which the entry of a node that never asked is removed.
+#: Seconds after which the entry of a node that does not ask is removed: longer
+#: than a restart or the cut of a failure domain usually lasts.
 DEAD_SECONDS = 15.0
 
 #: Seconds after which a call to the store that changes something is repeated.
@@ -62,7 +64,8 @@
 #: Seconds for which these may stall.
 STALL_SECONDS = 30.0
 
-#: The descriptors of a process that are not callers' connections.
+#: The descriptors of a process that are not callers' connections: 200 for
+#: files, the rest for back ends, nodes and the store.
 RESERVED_DESCRIPTORS = 700
 
 _LOG = log.Log('node')
