--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -1,8 +1,7 @@
 """The messages between a node and its broker, and how they are framed.
 
-gRPC was measured at a third of a core for the asks of one zone at the target
-size, so these small and frequent messages have a frame of their own; the
-encoding is MessagePack by msgspec.
+Each request costs three of these small messages, so they have a frame of their
+own in place of a gRPC call each; the encoding is MessagePack by msgspec.
 """
 
 import types
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -24,8 +24,8 @@
 from pimentoway.nodes import election, frame, link
 from pimentoway.ops import ask, broker, follow, slotclient, view
 
-#: Seconds between two looks of the broker at its queues: an eighth of the
-#: shortest goal.
+#: Seconds between two looks of the broker at its queues: a quarter of the
+#: shortest goal on the users' sheets.
 TICK_SECONDS = 0.05
 
 #: Seconds between two sweeps of idle connections.
