--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -10,40 +10,11 @@
 
 from pimentoway.core import deployment, place, registry
 from pimentoway.ops import ask
-from pimentoway.standin import load
+from pimentoway.standin import asking, load
 
 DRAFT, NOTE, DIGEST = load.KINDS
 
 
-def make_ask(number: int, **changes: object) -> ask.Ask:
-    """Make an ask.
-
-    Args:
-        number: Its number, which also tells it from others.
-        **changes: What is different.
-
-    Returns:
-        The ask.
-    """
-    plain = ask.Ask(
-        number=number,
-        service=load.SERVICE,
-        route='r',
-        zone='z',
-        rank=0,
-        customer='',
-        cost=0,
-        goal_left=1,
-        time_left=60,
-        patience_left=60,
-        prompt_tokens=1,
-        output_tokens=1,
-        size=0,
-        fingerprint=number,
-    )
-    return msgspec.structs.replace(plain, **changes)
-
-
 def make_customer(name: str, rate: float, burst: float) -> deployment.Customer:
     """Make a customer.
 
@@ -68,7 +39,7 @@
     held = deployment.Deployment(
         1,
         (),
-        {load.SERVICE: deployment.Service(load.SERVICE, 100, 17, 6)},
+        {asking.SERVICE: deployment.Service(asking.SERVICE, 100, 17, 6)},
         {one.name: one for one in customers},
         deployment.CallerLimits(),
     )
@@ -130,14 +101,14 @@
     world = load.World(speeds=())
     replies = []
     world.broker._reply = lambda owner, reply: replies.append(reply)
-    late = make_ask(1, fingerprint=7, goal_left=0.5)
+    late = asking.make_ask(1, fingerprint=7, goal_left=0.5)
     world.broker.submit('other/1', late)
     assert replies.pop().reason is ask.Reason.no_backend
     load.play(0.6)
     world.add_engine('e0', 1, 1)
-    world.broker.submit('other/1', make_ask(2, goal_left=0.5))
+    world.broker.submit('other/1', asking.make_ask(2, goal_left=0.5))
     world.broker.submit('other/1', msgspec.structs.replace(late, number=3))
-    world.broker.submit('other/1', make_ask(4, goal_left=0.5))
+    world.broker.submit('other/1', asking.make_ask(4, goal_left=0.5))
     world.broker.finish('other/1', ask.Report(2, ask.Outcome.answered))
     assert [reply.number for reply in replies] == [2, 4]
 
@@ -145,7 +116,7 @@
 def test_page_that_was_served_is_no_return() -> None:
     """Hot page: a refusal of long ago does not hold the next caller back."""
     world = load.World(speeds=())
-    page = make_ask(1, fingerprint=7, goal_left=0.5)
+    page = asking.make_ask(1, fingerprint=7, goal_left=0.5)
     world.broker.submit('other/1', page)
     load.play(1)
     world.add_engine('e0', 1, 1)
@@ -159,12 +130,12 @@
     world = load.World(speeds=(1,), slots=25)
     replies = []
     world.broker._reply = lambda owner, reply: replies.append(reply)
-    world.broker.submit('other/1', make_ask(0, route='draft'))
+    world.broker.submit('other/1', asking.make_ask(0, route='draft'))
     for number in range(1, 31):
-        entry = make_ask(number, route='digest', rank=2)
+        entry = asking.make_ask(number, route='digest', rank=2)
         world.broker.submit('other/1', entry)
     assert len(replies) == 23
-    world.broker.submit('other/1', make_ask(99, route='draft'))
+    world.broker.submit('other/1', asking.make_ask(99, route='draft'))
     assert replies[-1].number == 99
 
 
@@ -271,7 +242,7 @@
 def test_vanished_node_holds_slots_for_a_while(gone: bool) -> None:
     """Node lost: its runs are counted until back ends have stopped them."""
     world = load.World(speeds=(1,), slots=1)
-    world.broker.submit('other/1', make_ask(1))
+    world.broker.submit('other/1', asking.make_ask(1))
     if gone:
         world.broker.drop_owner('other/1')
     load.play(5)
@@ -285,7 +256,7 @@
     world = load.World(speeds=(1, 1, 1, 1, 1))
     engines = []
     for number in range(5):
-        entry = make_ask(number, fingerprint=99)
+        entry = asking.make_ask(number, fingerprint=99)
         replies = []
         world.broker._reply = lambda owner, reply, to=replies: to.append(reply)
         world.broker.submit('other/1', entry)
@@ -309,7 +280,7 @@
     replies = []
     world.broker._reply = lambda owner, reply: replies.append(reply)
     for number in range(200):
-        entry = make_ask(number, repeats=number % 2)
+        entry = asking.make_ask(number, repeats=number % 2)
         world.broker.submit('other/1', entry)
     granted = sum(isinstance(reply, ask.Grant) for reply in replies)
     refused = [one for one in replies if isinstance(one, ask.Refusal)]
--- a/pimentoway/ops/progress_test.py
+++ b/pimentoway/ops/progress_test.py
@@ -7,26 +7,11 @@
 
 from pimentoway.core import deployment, place, registry
 from pimentoway.ops import ask, enginestate, progress, view
-from pimentoway.standin import paused_loop
+from pimentoway.standin import asking, paused_loop
 
 ORDER = deployment.Rollout('s', 'v2', 12, 'o1', '', 3)
 
-ENTRY = ask.Ask(
-    number=1,
-    service='s',
-    route='r',
-    zone='z',
-    rank=0,
-    customer='',
-    cost=0,
-    goal_left=1,
-    time_left=9,
-    patience_left=9,
-    prompt_tokens=1,
-    output_tokens=1,
-    size=0,
-    fingerprint=1,
-)
+ENTRY = asking.make_ask(1, service='s')
 
 
 class Rollout:
--- a/pimentoway/ops/slotclient_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -6,26 +6,11 @@
 
 from pimentoway.core import error, place
 from pimentoway.ops import ask, broker, slotclient
-from pimentoway.standin import load
+from pimentoway.standin import asking, load
 
 OWNER = 'n1/1'
 
-ENTRY = ask.Ask(
-    number=0,
-    service=load.SERVICE,
-    route='r',
-    zone='z',
-    rank=0,
-    customer='c',
-    cost=10,
-    goal_left=1,
-    time_left=4,
-    patience_left=4,
-    prompt_tokens=1,
-    output_tokens=1,
-    size=0,
-    fingerprint=1,
-)
+ENTRY = asking.make_ask(0, customer='c', cost=10, time_left=4, patience_left=4)
 
 
 class Pair:
--- a/pimentoway/standin/load.py
+++ b/pimentoway/standin/load.py
@@ -16,10 +16,9 @@
 
 from pimentoway.core import clock, deployment, place, registry
 from pimentoway.ops import ask, broker, view
-from pimentoway.standin import paused_loop
+from pimentoway.standin import asking, paused_loop
 
-#: The name of the service and of the only node.
-SERVICE = 'pool'
+#: The name of the only node.
 OWNER = 'node/1'
 
 #: Seconds that an answer's first event takes besides its prompt.
@@ -167,7 +166,7 @@
         """
         fields = {
             'name': name,
-            'service': SERVICE,
+            'service': asking.SERVICE,
             'address': f'{name}:1',
             'zone': 'z',
             'version': 'v1',
@@ -262,7 +261,7 @@
         scale = self._random.expovariate(1)
         entry = ask.Ask(
             number=0,
-            service=SERVICE,
+            service=asking.SERVICE,
             route=kind.name,
             zone='z',
             rank=kind.rank,
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -268,4 +268,12 @@
         '        return False',
         'pimentoway/ops/progress_test.py',
     ),
+    guard_text.Guard(
+        'a look at a connection lets nothing else run',
+        'core/connection.py',
+        "monkey.get_original('select', 'poll')()",
+        "__import__('gevent.select').select.poll()",
+        'pimentoway/core/connection_test.py',
+        _REAL,
+    ),
 )
