Log what decides the order of slots, and count decisions by answer length

The lines of the broker named node and number only, and a request's line only the upper bound of its answer, which is the same for a whole route; so the three hypotheses about long answers could not be told apart. Change: the request's line has the caller's estimate (`hinted`); the broker's lines have route, tier, estimated tokens and run time, the route's typical run time, its running requests and its demand; a metric counts slots granted and refused by tier and relative length. No decision changes.

--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -268,6 +268,7 @@
             rank=context.compute_rank(),
             prompt=token_counts.prompt_tokens,
             output=token_counts.output_tokens,
+            hinted=token_counts.hinted_tokens,
             engine=context.engine_name,
             avoided=context.avoided,
             runs=context.possible_runs,
--- a/pimentoway/core/metric.py
+++ b/pimentoway/core/metric.py
@@ -64,3 +64,10 @@
     'The learnt limit of a back end.',
     ['backend'],
 )
+
+SLOT_DECISIONS = prometheus_client.Counter(
+    'pimentoway_slot_decisions',
+    'Slots granted and refused by this broker, by tier and by the estimated '
+    'length of the answer relative to its route.',
+    ['tier', 'length', 'decision'],
+)
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -8,7 +8,7 @@
 
 import collections
 
-from pimentoway.core import clock, log, nodesetting, registry
+from pimentoway.core import clock, log, metric, nodesetting, registry
 from pimentoway.ops import (
     admit,
     enginestate,
@@ -100,7 +100,7 @@
         target_time = now + request.target_left
         if reason is not None:
             self._admission.note_refusal(request, target_time)
-            self._refuse((requester, request.number), reason, wait)
+            self._refuse(requester, request, reason, wait)
             return
         queued = routequeue.QueuedRequest(
             key=(requester, request.number),
@@ -260,6 +260,7 @@
         state.start(queued.key, queued.request)
         self.rollouts.note_start(state.engine)
         self._admission.note_start(queued.request)
+        self._count_decision(queued.request, 'granted')
         self._log_grant(queued, state)
         grant = slot.Grant(queued.request.number, state.engine.name)
         self._reply(queued.key[0], grant)
@@ -331,20 +332,26 @@
         self.grant_waiting(request.service)
 
     def _refuse(
-        self, key: enginestate.RunKey, reason: slot.Reason, wait: float
+        self,
+        requester: str,
+        request: slot.SlotRequest,
+        reason: slot.Reason,
+        wait: float,
     ) -> None:
         retry = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
+        self._count_decision(request, 'refused')
         _LOG.write(
             'refused.',
-            owner=key[0],
-            number=key[1],
+            owner=requester,
+            number=request.number,
             reason=reason.name,
             estimated=round(wait, 3),
             retry_after=round(retry, 3),
             waiting=self.count_waiting(),
             share=round(self.engines.share, 3),
+            **self._describe_order(request),
         )
-        self._reply(key[0], slot.Refusal(key[1], reason, retry))
+        self._reply(requester, slot.Refusal(request.number, reason, retry))
 
     def _refuse_unservable(
         self, service: str, queue: waitqueue.WaitQueue
@@ -356,7 +363,9 @@
             queue.remove(queued.key)
             self._admission.refund(queued.request)
             self._admission.note_refusal(queued.request, queued.target_time)
-            self._refuse(queued.key, slot.Reason.expired, wait)
+            self._refuse(
+                queued.key[0], queued.request, slot.Reason.expired, wait
+            )
 
     def _recount_running(self) -> None:
         # Runs of vanished back ends and nodes are dropped without a report,
@@ -384,8 +393,21 @@
             waited=round(waited, 4),
             running=len(state.run_by_key),
             waiting=self.count_waiting(),
+            **self._describe_order(queued.request),
         )
 
+    def _count_decision(self, request: slot.SlotRequest, decision: str) -> None:
+        queue = self._queue_by_service[request.service]
+        length = queue.stats_by_route[request.route].classify_length(request)
+        metric.SLOT_DECISIONS.labels(
+            str(request.rank), length.value, decision
+        ).inc()
+
+    def _describe_order(self, request: slot.SlotRequest) -> dict[str, object]:
+        # The inputs that decide which of the waiting requests goes first.
+        queue = self._queue_by_service[request.service]
+        return queue.describe_order(request)
+
 
 def _compute_cost(
     request: slot.SlotRequest, state: enginestate.EngineState, run: float
--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -11,7 +11,7 @@
 import msgspec
 import pytest
 
-from pimentoway.core import deployment, nodesetting, registry
+from pimentoway.core import deployment, metric, nodesetting, registry
 from pimentoway.ops import slot
 from pimentoway.standin import backlog, load, paused_loop, slotrequest
 
@@ -433,3 +433,20 @@
     assert not simulation.broker.count_waiting()
     state_by_name = simulation.broker.engines.state_by_name
     assert state_by_name['e0'].count_free(1) == 1
+
+
+def test_decisions_are_counted_by_length() -> None:
+    """Long answers refused: the metric of the broker shows their length."""
+    labels = ('0', 'long', 'refused')
+    before = metric.SLOT_DECISIONS.labels(*labels)._value.get()
+    simulation = load.Simulation(speeds=(1,), slots=1)
+    simulation.broker._reply = lambda requester, reply: None
+    for number in range(1, 20):
+        simulation.broker.submit(
+            'other/1', slotrequest.make_slot_request(number, output_tokens=10)
+        )
+    simulation.broker.submit(
+        'other/1',
+        slotrequest.make_slot_request(20, output_tokens=90, patience_left=0.1),
+    )
+    assert metric.SLOT_DECISIONS.labels(*labels)._value.get() == before + 1
--- a/pimentoway/ops/routestats.py
+++ b/pimentoway/ops/routestats.py
@@ -1,6 +1,7 @@
 """Statistics on the requests of one route: rate, run time and value."""
 
 import dataclasses
+import enum
 import math
 
 from pimentoway.ops import slot
@@ -49,6 +50,18 @@
 MIN_RUN_SECONDS = 0.001
 MAX_DURATION_RATIO = 4.0
 
+#: The ratio to the average length of its route from which an answer counts as
+#: long, and the inverse of the one up to which it counts as short.
+LENGTH_CLASS_RATIO = 2
+
+
+class LengthClass(enum.Enum):
+    """The estimated length of an answer, relative to its route's average."""
+
+    short = 'short'
+    typical = 'typical'
+    long = 'long'
+
 
 @dataclasses.dataclass
 class RouteStats:
@@ -67,6 +80,8 @@
         running: The number of requests that run.
         event_seconds: The average time for each event of a stream; 0 while
             unknown.
+        mean_output_tokens: The average estimated length of an answer, over
+            all requests, served or not; 0 while unknown.
     """
 
     rank: int = 0
@@ -77,6 +92,7 @@
     recent_requests: float = 0
     running: int = 0
     event_seconds: float = 0
+    mean_output_tokens: float = 0
     _mean_tokens: float = 0
     _mean_decode_seconds: float = 0
 
@@ -92,6 +108,36 @@
                 request.work_tokens - mean
             )
 
+    def record_length(self, request: slot.SlotRequest) -> None:
+        """Update the average length of an answer.
+
+        Args:
+            request: The slot request; ignored if the length is unknown.
+        """
+        if request.output_tokens:
+            mean = self.mean_output_tokens or request.output_tokens
+            self.mean_output_tokens = mean + SMOOTHING * (
+                request.output_tokens - mean
+            )
+
+    def classify_length(self, request: slot.SlotRequest) -> LengthClass:
+        """Compare the estimated length of an answer with the route's average.
+
+        Args:
+            request: The slot request.
+
+        Returns:
+            The class; typical if the length is unknown.
+        """
+        if not self.mean_output_tokens or not request.output_tokens:
+            return LengthClass.typical
+        ratio = request.output_tokens / self.mean_output_tokens
+        if ratio >= LENGTH_CLASS_RATIO:
+            return LengthClass.long
+        if ratio <= 1 / LENGTH_CLASS_RATIO:
+            return LengthClass.short
+        return LengthClass.typical
+
     def estimate_slot_demand(self) -> float:
         """Estimate how many slots the requests of the route keep busy.
 
--- a/pimentoway/ops/waitqueue.py
+++ b/pimentoway/ops/waitqueue.py
@@ -55,6 +55,7 @@
         stats = self.stats_by_route[request.route]
         stats.rank = request.rank
         stats.record_work(request)
+        stats.record_length(request)
         # A request that can't meet its target any more, as it returns after a
         # refusal, doesn't count: it would raise the guaranteed slots of its
         # route, and timely requests need these.
@@ -164,6 +165,27 @@
         )
         return work / self._estimate_serving_slots(own.stats, slot_value, slots)
 
+    def describe_order(self, request: slot.SlotRequest) -> dict[str, object]:
+        """Describe what decides the place of a request, for the log.
+
+        Args:
+            request: The slot request.
+
+        Returns:
+            The fields of a log line, by their names.
+        """
+        stats = self.stats_by_route[request.route]
+        return {
+            'route': request.route,
+            'rank': request.rank,
+            'tokens': request.output_tokens,
+            'run': round(stats.estimate_run(request), 3),
+            'typical_run': round(stats.run_seconds, 3),
+            'value_ratio': round(stats.compute_value_ratio(request), 3),
+            'route_running': stats.running,
+            'route_demand': round(stats.estimate_slot_demand(), 2),
+        }
+
     def _list_candidates(
         self, queue: routequeue.RouteQueue, slots: int, free: int
     ) -> list[tuple[bool, float, float, routequeue.QueuedRequest]]:
