--- a/pimentoway/ops/routestats_test.py
+++ b/pimentoway/ops/routestats_test.py
@@ -15,7 +15,7 @@
         (0, routestats.LengthClass.typical),
     ],
 )
-def test_length_is_classified_by_the_average_of_all_requests(
+def test_length_class_counts_unserved_requests(
     tokens: int, expected: routestats.LengthClass
 ) -> None:
     """Refusals of long answers: the average counts unserved requests too."""
