Compute a route's demand from all requests, not from those that were served

What callers saw: a route of long answers got fewer guaranteed slots than a quarter of what it asked for. Cause: run_seconds averages complete answers. Long ones are refused and broken off more often, so the average, the demand and the guarantee fell, and the value of a second of a slot rose.

--- a/pimentoway/ops/routestats.py
+++ b/pimentoway/ops/routestats.py
@@ -69,10 +69,12 @@
 
     Attributes:
         rank: The tier of the last request; 0 is the highest.
-        run_seconds: The average run time.
+        run_seconds: The average run time of complete answers.
         first_seconds: The average time from dispatch to the first event.
         token_seconds: The average time for each token of an answer, where
             the tokens are those estimated before the run; 0 while unknown.
+        mean_run_seconds: The average estimated run time of a request, over
+            all requests, served or not; 0 before the first.
         mean_work_tokens: The average estimated work of a request, in prompt
             tokens; 0 while unknown.
         recent_requests: The decayed count of requests that could meet their
@@ -88,6 +90,7 @@
     run_seconds: float = DEFAULT_RUN_SECONDS
     first_seconds: float = DEFAULT_FIRST_SECONDS
     token_seconds: float = 0
+    mean_run_seconds: float = 0
     mean_work_tokens: float = 0
     recent_requests: float = 0
     running: int = 0
@@ -97,11 +100,15 @@
     _mean_decode_seconds: float = 0
 
     def record_work(self, request: slot.SlotRequest) -> None:
-        """Update the average work of a request.
+        """Update the average work and run time of a request.
 
         Args:
-            request: The slot request; ignored if its work is unknown.
+            request: The slot request; it counts as a typical one as far as
+                its work is unknown.
         """
+        run = self.estimate_run(request)
+        mean = self.mean_run_seconds or run
+        self.mean_run_seconds = mean + SMOOTHING * (run - mean)
         if request.work_tokens:
             mean = self.mean_work_tokens or request.work_tokens
             self.mean_work_tokens = mean + SMOOTHING * (
@@ -144,7 +151,7 @@
         Returns:
             The slots: arrival rate times run time (Little's law).
         """
-        return self.recent_requests * DECAY_RATE * self.run_seconds
+        return self.recent_requests * DECAY_RATE * self._find_mean_run()
 
     def estimate_run(self, request: slot.SlotRequest) -> float:
         """Estimate the run time of a request.
@@ -178,7 +185,9 @@
             / self.mean_work_tokens
         )
         answer_value = FIXED_VALUE_FRACTION + proportional
-        ratio = answer_value * self.run_seconds / self.estimate_run(request)
+        ratio = (
+            answer_value * self._find_mean_run() / self.estimate_run(request)
+        )
         return min(max(ratio, 1 / MAX_VALUE_RATIO), MAX_VALUE_RATIO)
 
     def compute_typical_value(self) -> float:
@@ -187,7 +196,7 @@
         Returns:
             The value, comparable between routes.
         """
-        return TIER_VALUE_RATIO**-self.rank / self.run_seconds
+        return TIER_VALUE_RATIO**-self.rank / self._find_mean_run()
 
     def compute_duration_ratio(self, report: slot.Report) -> float:
         """Compare the time of a run with the time expected on this route.
@@ -251,3 +260,8 @@
             self.estimate_slot_demand() * GUARANTEED_DEMAND_FRACTION,
             slots * MAX_GUARANTEED_FRACTION,
         )
+
+    def _find_mean_run(self) -> float:
+        # Answers that were served don't stand for all: long ones are refused
+        # and broken off more often.
+        return self.mean_run_seconds or self.run_seconds
--- a/pimentoway/ops/routestats_test.py
+++ b/pimentoway/ops/routestats_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pimentoway.ops import routestats
+from pimentoway.ops import routestats, slot
 from pimentoway.standin import slotrequest
 
 
@@ -26,3 +26,18 @@
         )
     request = slotrequest.make_slot_request(10, output_tokens=tokens)
     assert stats.classify_length(request) is expected
+
+
+def test_demand_includes_unserved_long_answers() -> None:
+    """Only short answers are served: the demand counts the long ones too."""
+    stats = routestats.RouteStats()
+    report = slot.Report(1, slot.Outcome.answered, 0.1, 0.2, 1)
+    short = slotrequest.make_slot_request(1, output_tokens=10)
+    long = slotrequest.make_slot_request(2, output_tokens=190)
+    for _ in range(200):
+        stats.record_answer(short, report)
+    for request in (short, long) * 100:
+        stats.recent_requests = 1
+        stats.record_work(request)
+    demand = stats.estimate_slot_demand() / routestats.DECAY_RATE
+    assert demand == pytest.approx(0.1 + 0.01 * 100, rel=0.2)
