Bound calls to peers that send bytes without an end

What callers saw in the test: a call to a back end that sends headers, chunks or chunk extensions without an end never failed and its memory grew; a byte each 20 ms held a call past its deadline, as each read had a timeout of its own. Cause: geventhttpclient reads on until an answer is complete and knows no limit. Change: an answer may have 64 KiB in a row outside its body and 8 MiB of body that wait to be read, and its deadline ends it. The poll of a report has a deadline. The calls to the platform's store have the limits, but no deadline over all reads.

--- a/pimentoway/backends/exchange.py
+++ b/pimentoway/backends/exchange.py
@@ -135,6 +135,7 @@
             connect_seconds=link.connect_seconds,
             first_byte_seconds=link.report_seconds,
             gap_seconds=link.report_seconds,
+            deadline=clock.read_monotonic() + link.report_seconds,
         ),
     )
     metric.CONTROL_BYTES.labels('report', 'in').inc(len(response.body))
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -30,6 +30,12 @@
 #: The buffer size for reading from a connection.
 BLOCK_BYTES = 16_384
 
+#: The most bytes of an answer in a row that belong to no body, and the most
+#: bytes of a body that wait to be read; a listing of the platform has a
+#: megabyte.
+MAX_FRAMING_BYTES = 65_536
+MAX_BODY_BYTES = 8_388_608
+
 #: Detect a silent peer after two to three seconds: by unacknowledged bytes
 #: (``TCP_USER_TIMEOUT``, in milliseconds) or, on an idle connection, by two
 #: unanswered keepalive probes (idle time and interval in seconds).
@@ -97,6 +103,42 @@
     body: bytes
 
 
+class BoundedResponse(response.HTTPSocketResponse):
+    """An answer that may neither exceed its limits nor its deadline."""
+
+    def __init__(self, sock: gevent_socket.socket, call: Call) -> None:
+        """Read the head of the answer.
+
+        Args:
+            sock: The connection.
+            call: The call.
+        """
+        self._deadline = call.deadline
+        self._framing_size = 0
+        super().__init__(sock, block_size=BLOCK_BYTES, method=call.method)
+
+    def feed(self, block: bytes) -> None:
+        """Parse bytes received from the peer.
+
+        Args:
+            block: The bytes.
+
+        Raises:
+            HTTPParseError: If the answer is invalid or exceeds a limit.
+            TimeoutError: If its deadline has passed.
+        """
+        buffered = len(self._body_buffer)
+        super().feed(block)
+        grown = len(self._body_buffer) > buffered
+        self._framing_size = 0 if grown else self._framing_size + len(block)
+        if self._framing_size > MAX_FRAMING_BYTES:
+            raise response.HTTPParseError('too many bytes outside the body')
+        if len(self._body_buffer) > MAX_BODY_BYTES:
+            raise response.HTTPParseError('the body is too large')
+        if clock.read_monotonic() > self._deadline:
+            raise TimeoutError('the deadline has passed')
+
+
 class Exchange:
     """A call in progress: the answer's head was read, its body was not.
 
@@ -110,7 +152,7 @@
         pool: 'Pool',
         call: Call,
         sock: gevent_socket.socket,
-        reply: response.HTTPSocketResponse,
+        reply: BoundedResponse,
     ) -> None:
         """Take over a connection whose answer has begun.
 
@@ -342,17 +384,10 @@
     return sock
 
 
-def _send(
-    sock: gevent_socket.socket, call: Call
-) -> response.HTTPSocketResponse:
+def _send(sock: gevent_socket.socket, call: Call) -> BoundedResponse:
     sock.settimeout(call.first_byte_seconds)
     sock.sendall(_encode_head(call) + call.body)
-    reply = response.HTTPSocketResponse(
-        sock,
-        block_size=BLOCK_BYTES,
-        method=call.method,
-    )
-    return reply
+    return BoundedResponse(sock, call)
 
 
 def _encode_head(call: Call) -> bytes:
