Give up answers of back ends that send bytes without an end

What callers saw in the tests: a head or an event without an end held a request until its time was up, and the node's memory grew with each byte received; a refusal whose body doesn't end held the request, although it could go elsewhere at once. Chunked bodies were bounded already. Found beside it: a request's head in small blocks passed its limit. Cause: the parser hands on a header when it is complete and keeps what it has until then; nothing counted the bytes received. Change: an answer may have 64 KiB in a row outside its body (heads, interim answers, chunk extensions, trailers), an event 256 KiB, a skipped answer to another request 1 MiB; the body of a refusal is awaited 50 ms. An unfinished head of a request counts by its bytes.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -27,6 +27,9 @@
 #: Responses to other requests after which reading a response fails.
 MAX_FOREIGN_RESPONSES = 3
 
+#: Largest body of a response to another request that is skipped, in bytes.
+MAX_FOREIGN_BYTES = 1_048_576
+
 #: Maximum idle connections for one back end.
 MAX_IDLE_CHANNELS = 12
 
@@ -117,8 +120,7 @@
             metadata = self._dialect.read_metadata(response)
             if metadata.request_id in {'', request_id}:
                 return response, metadata
-            while not response.complete:
-                self._receive(deadline)
+            self._skip_body(response, deadline)
             self._reader.answers.popleft()
             self._reader.broken = True
         raise error.ConnectionLostError(
@@ -192,6 +194,17 @@
             self._receive(deadline)
         return responses[0]
 
+    def _skip_body(self, response: message.Answer, deadline: float) -> None:
+        skipped = 0
+        while not response.complete:
+            self._receive(deadline)
+            skipped += sum(len(part) for part in response.parts)
+            response.parts.clear()
+            if skipped > MAX_FOREIGN_BYTES:
+                raise error.ConnectionLostError(
+                    'a foreign answer is too large', 'read', self.address
+                )
+
     def _receive(self, deadline: float) -> None:
         if self._closed_by_peer:
             raise error.ConnectionLostError(
--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -17,6 +17,10 @@
 #: as the request is sent, which would leave the outcome unknown.
 UNSAFE_MAX_IDLE_SECONDS = 1
 
+#: Seconds for which the body of a "not run" response is awaited; it is
+#: read only to reuse the connection.
+NOT_RUN_BODY_SECONDS = 0.05
+
 #: The largest response body, in bytes, that is buffered.
 MAX_BUFFERED_BYTES = 0x400000
 
@@ -164,8 +168,11 @@
         self._outcome = slot.Outcome.shed
         if response.status == _MISDIRECTED:
             self._outcome = slot.Outcome.misdirected
+        deadline = clock.read_monotonic() + NOT_RUN_BODY_SECONDS
         try:
-            self._read_body(conn, response)
+            self._read_body(
+                conn, response, min(deadline, self._context.deadline)
+            )
         except error.ConnectionLostError:
             # The head already says that the request was not run, so only the
             # connection is lost.
@@ -207,7 +214,7 @@
         context.event_splitter.rest = b''
         part = self._read_part(conn, response)
         while part:
-            events = context.event_splitter.feed(part)
+            events = self._split_events(part)
             if events:
                 self._write_events(response, events)
             part = self._read_part(conn, response)
@@ -225,6 +232,12 @@
         except error.ConnectionLostError as fault:
             raise self._handle_cut(fault) from fault
 
+    def _split_events(self, part: bytes) -> bytes:
+        try:
+            return self._context.event_splitter.feed(part)
+        except error.ConnectionLostError as fault:
+            raise self._handle_cut(fault) from fault
+
     def _write_events(self, response: message.Answer, events: bytes) -> None:
         self._record_first_event()
         writer = self._context.writer
@@ -241,24 +254,24 @@
             self._context.first_event_seconds = now - self._context.arrived
 
     def _read_body(
-        self, conn: channel.Channel, response: message.Answer
+        self, conn: channel.Channel, response: message.Answer, deadline: float
     ) -> bytes:
         body = bytearray()
-        part = conn.read_body_part(response, self._context.deadline)
+        part = conn.read_body_part(response, deadline)
         while part:
             body += part
             if len(body) > MAX_BUFFERED_BYTES:
                 raise error.ConnectionLostError(
                     'the answer is too large', 'read'
                 )
-            part = conn.read_body_part(response, self._context.deadline)
+            part = conn.read_body_part(response, deadline)
         return bytes(body)
 
     def _read_body_or_fail(
         self, conn: channel.Channel, response: message.Answer
     ) -> bytes:
         try:
-            return self._read_body(conn, response)
+            return self._read_body(conn, response, self._context.deadline)
         except error.ConnectionLostError as fault:
             raise self._handle_cut(fault) from fault
 
--- a/pimentoway/core/eventstream.py
+++ b/pimentoway/core/eventstream.py
@@ -2,6 +2,11 @@
 
 import re
 
+from pimentoway.core import error
+
+#: The largest event; events of model engines hold a few tokens.
+MAX_EVENT_BYTES = 262_144
+
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 _EVENT_ID = re.compile(rb'(?m)^id:[ ]?([^\r\n]*)')
 
@@ -30,10 +35,17 @@
         Returns:
             The bytes of all events that are now complete, including their
             blank lines; empty if none is.
+
+        Raises:
+            ConnectionLostError: If an event exceeds ``MAX_EVENT_BYTES``.
         """
         text = self.rest + part
         ends = [match.end() for match in _EVENT_END.finditer(text)]
         if not ends:
+            if len(text) > MAX_EVENT_BYTES:
+                raise error.ConnectionLostError(
+                    'an event of the stream is too large', 'read'
+                )
             self.rest = text
             return b''
         self.rest = text[ends[-1] :]
--- a/pimentoway/core/eventstream_test.py
+++ b/pimentoway/core/eventstream_test.py
@@ -1,8 +1,9 @@
 """Tests of splitting streams into events."""
 
+import pytest
 from hypothesis import given, strategies
 
-from pimentoway.core import eventstream
+from pimentoway.core import error, eventstream
 
 STREAM = b''.join(b'id: %d\ndata: piece\n\n' % number for number in range(1, 9))
 
@@ -29,3 +30,11 @@
     )
     assert splitter.last_id == b'1'
     assert splitter.rest == b'id: 2\nda'
+
+
+def test_event_without_end_is_rejected() -> None:
+    """Bytes that form no event: they aren't kept without a limit."""
+    splitter = eventstream.EventSplitter()
+    with pytest.raises(error.ConnectionLostError):
+        for _ in range(1000):
+            splitter.feed(b'z: ' * 1000)
--- a/pimentoway/core/message.py
+++ b/pimentoway/core/message.py
@@ -26,6 +26,10 @@
     ),
 )
 
+#: The most bytes of an answer in a row that belong to no body: its head, with
+#: interim answers before it, the framing of a chunk, or trailers.
+MAX_FRAMING_BYTES = 65_536
+
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
 _CHUNKED = b'chunked'
@@ -106,6 +110,7 @@
         self._header_bytes = header_bytes
         self._body_bytes = body_bytes
         self._head_size = 0
+        self._unfinished_head_size = 0
         self._original_error: MessageError | None = None
         self._parser = httptools.HttpRequestParser(self)
 
@@ -127,13 +132,12 @@
             raise MessageError('protocols are not changed here') from fault
         except httptools.HttpParserError as fault:
             raise self._original_error or MessageError(str(fault)) from fault
-        unfinished = self.requests and not self.requests[-1].head_complete
-        if unfinished and len(block) > self._header_bytes:
-            raise MessageError('the head is too large', _HEAD_TOO_LARGE)
+        self._check_unfinished_head(len(block))
 
     def on_message_begin(self) -> None:
         """Add a new request."""
         self._head_size = 0
+        self._unfinished_head_size = 0
         self.requests.append(Request())
 
     def on_url(self, part: bytes) -> None:
@@ -185,6 +189,14 @@
         """Mark the request as complete."""
         self.requests[-1].complete = True
 
+    def _check_unfinished_head(self, received: int) -> None:
+        # The parser passes on a header only when it is complete.
+        if not self.requests or self.requests[-1].head_complete:
+            return
+        self._unfinished_head_size += received
+        if self._unfinished_head_size > self._header_bytes:
+            raise MessageError('the head is too large', _HEAD_TOO_LARGE)
+
     def _check_framing(self, current: Request) -> None:
         codings = current.list_header_values(_TRANSFER_ENCODING)
         if codings and [coding.lower() for coding in codings] != [_CHUNKED]:
@@ -251,28 +263,26 @@
         """Start at the beginning of a connection."""
         self.answers: collections.deque[Answer] = collections.deque()
         self.broken = False
+        self._framing_size = 0
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, block: bytes) -> None:
         """Parse bytes received from the back end.
 
-        Invalid bytes after a complete answer leave the answer valid and only
-        set ``broken``.
+        Invalid bytes, and more than ``MAX_FRAMING_BYTES`` outside a body, end
+        reading with a ``ConnectionLostError``. After a complete answer they
+        leave the answer valid and only set ``broken``.
 
         Args:
             block: The bytes.
-
-        Raises:
-            ConnectionLostError: If invalid bytes come before a complete answer.
         """
+        self._framing_size += len(block)
         try:
             self._parser.feed_data(block)
         except httptools.HttpParserError as fault:
-            self.broken = True
-            if not self.answers or not self.answers[0].complete:
-                raise error.ConnectionLostError(
-                    f'the answer can not be read: {fault}', 'read'
-                ) from fault
+            self._break_off(f'the answer can not be read: {fault}')
+        if self._framing_size > MAX_FRAMING_BYTES:
+            self._break_off('the answer has too many bytes outside its body')
 
     def end(self) -> None:
         """Handle the end of the connection."""
@@ -330,6 +340,7 @@
         Args:
             part: The bytes.
         """
+        self._framing_size = 0
         self.answers[-1].parts.append(part)
 
     def on_message_complete(self) -> None:
@@ -341,6 +352,11 @@
         if not current.until_close:
             current.complete = True
 
+    def _break_off(self, reason: str) -> None:
+        self.broken = True
+        if not self.answers or not self.answers[0].complete:
+            raise error.ConnectionLostError(reason, 'read')
+
 
 def list_hop_by_hop_headers(headers: list[Header]) -> frozenset[bytes]:
     """List the headers of a message that must not be forwarded.
--- a/pimentoway/core/message_test.py
+++ b/pimentoway/core/message_test.py
@@ -151,3 +151,55 @@
         b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n',
     )
     assert [answer.status for answer in reader.answers] == [204]
+
+
+ANSWER_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 O', b'K'),
+        (ANSWER_HEAD, b'X-Pad: y\r\n'),
+        (b'%sX-Pad: ' % ANSWER_HEAD, b'y'),
+        (b'', b'HTTP/1.1 103 Early Hints\r\nX-Pad: y\r\n\r\n'),
+        (b'%s\r\n1;' % ANSWER_HEAD, b'a'),
+        (b'%s\r\n0\r\nX-Pad: ' % ANSWER_HEAD, b'y'),
+        (b'%s\r\n0\r\n' % ANSWER_HEAD, b'X-Pad: y\r\n'),
+    ],
+)
+@pytest.mark.parametrize('block_bytes', [500, 60_000])
+def test_endless_framing_of_an_answer_is_rejected(
+    start: bytes, repeated: bytes, block_bytes: int
+) -> None:
+    """Bytes without an end outside of a body: the answer is lost."""
+    reader = message.AnswerReader()
+    reader.feed(start)
+    block = repeated * (block_bytes // len(repeated))
+    with pytest.raises(error.ConnectionLostError):
+        for _ in range(1_000_000 // block_bytes):
+            reader.feed(block)
+    assert reader.broken
+
+
+def test_long_body_of_an_answer_is_accepted() -> None:
+    """A body of any length is passed on; it counts for no limit of framing."""
+    reader = message.AnswerReader()
+    reader.feed(b'%s\r\n' % ANSWER_HEAD)
+    for _ in range(200):
+        reader.feed(b'2000\r\n%s\r\n' % (b'x' * 0x2000))
+    reader.feed(b'0\r\n\r\n')
+    answer = reader.answers[0]
+    assert answer.complete
+    assert sum(map(len, answer.parts)) == 200 * 0x2000
+
+
+@pytest.mark.parametrize('repeated', [b'X-Pad: y\r\n', b'y'])
+def test_endless_head_of_a_request_is_rejected(repeated: bytes) -> None:
+    """A head without an end in small blocks: it is bounded like a whole one."""
+    reader = message.RequestReader(LIMIT, LIMIT)
+    reader.feed(b'GET / HTTP/1.1\r\nX-Pad: y')
+    with pytest.raises(message.MessageError) as caught:
+        for _ in range(LIMIT):
+            reader.feed(repeated)
+    assert caught.value.status == 431
--- a/pimentoway/platform/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -455,6 +455,71 @@
     assert sum(count_requests(one, two).values()) == 1
 
 
+@pytest.mark.parametrize(
+    'script',
+    [
+        Script(endless=b'X-Pad: y\r\n', endless_head=True),
+        Script(endless=b'z', endless_head=True),
+        Script(endless=b'4\r\npads\r\n', chunked=True),
+        Script(endless=b'z', chunked=True),
+        Script(endless=b'1;a\r\nz\r\n0;b=', chunked=True),
+        Script(
+            endless=b'z',
+            headers=('Content-Length: 99999999999', 'X-Rest: '),
+            body=(),
+        ),
+    ],
+)
+def test_endless_answer_is_given_up(script: Script) -> None:
+    """Endless bytes in a head or a body: another engine answers early."""
+    one = scripted_engine.ScriptedEngine('e1', script)
+    two = scripted_engine.ScriptedEngine('e2')
+    harness = NodeHarness(one)
+    task = gevent.spawn(harness.call, '/safe/x')
+    gevent.sleep(0.02)
+    harness.add(two)
+    status, _, body = task.get(timeout=1.5)
+    assert (status, body) == (200, b'done')
+    assert len(one.requests) == 1
+
+
+def test_endless_event_ends_a_stream() -> None:
+    """An event without an end: the rest of the stream comes from another."""
+    one = scripted_engine.ScriptedEngine(
+        'e1',
+        Script(body=EVENTS[:2], chunked=True, endless=b'4\r\nz: z\r\n'),
+    )
+    two = scripted_engine.ScriptedEngine(
+        'e2', Script(body=EVENTS[2:], chunked=True)
+    )
+    harness = NodeHarness(one)
+    task = gevent.spawn(harness.call, '/resumable/x')
+    gevent.sleep(0.02)
+    harness.add(two)
+    _, _, body = task.get(timeout=1.5)
+    assert body.count(b'data: piece') == len(EVENTS)
+    assert b'z: z' not in body
+
+
+def test_endless_refusal_does_not_delay_the_retry() -> None:
+    """A refusal with an endless body: the next engine is asked at once."""
+    shed = Script(
+        status=503,
+        headers=('Pimentoway-Not-Executed: 1',),
+        chunked=True,
+        pause=0.01,
+        body=(b'full',) * 1000,
+    )
+    one = scripted_engine.ScriptedEngine('e1', shed)
+    two = scripted_engine.ScriptedEngine('e2')
+    harness = NodeHarness(one)
+    task = gevent.spawn(harness.call, '/unsafe/x')
+    gevent.sleep(0.02)
+    harness.add(two)
+    status, _, _ = task.get(timeout=1)
+    assert status == 200
+
+
 def test_call_is_cancelled_if_caller_leaves() -> None:
     """The connection to the engine is closed soon after the caller's."""
     engine = scripted_engine.ScriptedEngine('e1', Script(silent=True))
--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -37,6 +37,9 @@
             ``None`` to send the whole answer.
         foreign: Whether an answer to another attempt is sent first.
         silent: Whether no answer is sent at all.
+        endless: Bytes that are sent again and again after the body, until the
+            peer closes the connection.
+        endless_head: Whether ``endless`` comes before the end of the head.
     """
 
     status: int = 200
@@ -48,6 +51,8 @@
     close_after: int | None = None
     foreign: bool = False
     silent: bool = False
+    endless: bytes = b''
+    endless_head: bool = False
 
 
 class ScriptedEngine:
@@ -132,13 +137,19 @@
         if script.foreign:
             sock.sendall(_make_foreign_answer())
         gevent.sleep(script.pause)
-        sock.sendall(self._make_head(request, script))
+        head = self._make_head(request, script)
+        if script.endless_head:
+            sock.sendall(head.removesuffix(b'\r\n'))
+            return _send_without_end(sock, script.endless)
+        sock.sendall(head)
         for number, piece in enumerate(script.body):
             if script.close_after == number:
                 sock.close()
                 return False
             sock.sendall(_encode_chunk(piece) if script.chunked else piece)
             gevent.sleep(script.pause)
+        if script.endless:
+            return _send_without_end(sock, script.endless)
         if script.chunked:
             sock.sendall(b'0\r\n\r\n')
         return True
@@ -167,5 +178,16 @@
     )
 
 
+def _send_without_end(sock: gevent_socket.socket, repeated: bytes) -> bool:
+    block = repeated * (BLOCK_BYTES // len(repeated))
+    while True:
+        try:
+            sock.sendall(block)
+        except OSError:
+            # The peer has closed the connection.
+            return False
+        gevent.sleep(0)
+
+
 def _encode_chunk(piece: bytes) -> bytes:
     return b'%x\r\n%s\r\n' % (len(piece), piece)
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -307,6 +307,27 @@
         'pimentoway/soak/fleet_process_test.py',
         _REAL,
     ),
+    guard_text.Guard(
+        'endless framing of an answer',
+        'core/message.py',
+        '        if self._framing_size > MAX_FRAMING_BYTES:',
+        '        if False:',
+        'pimentoway/core/message_test.py',
+    ),
+    guard_text.Guard(
+        'endless head of a request',
+        'core/message.py',
+        '        self._unfinished_head_size += received\n',
+        '',
+        'pimentoway/core/message_test.py',
+    ),
+    guard_text.Guard(
+        'endless event of a stream',
+        'core/eventstream.py',
+        '            if len(text) > MAX_EVENT_BYTES:',
+        '            if False:',
+        'pimentoway/core/eventstream_test.py',
+    ),
     guard_text.Guard(
         'a decision does not grow with the queue',
         'ops/routequeue.py',
