Judge a new version also by slow answers that end early

What callers would see: a version that answers part of its requests so slowly that their callers leave, or that their time runs out, was completed and kept, since only complete and failed answers were judged, and the complete ones were fast. Callers that leave early, and long answers at their limit, don't count (test_early_ends_do_not_blame_a_good_version).

--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -61,6 +61,9 @@
 #: The time until the first event counts as the time for this many events.
 FIRST_EVENT_WEIGHT = 4
 
+#: The outcomes of runs that may have ended early because they were slow.
+UNFINISHED_OUTCOMES = frozenset((slot.Outcome.abandoned, slot.Outcome.silent))
+
 _LOG = log.Log('rollout')
 
 
@@ -78,8 +81,11 @@
 
     Attributes:
         count: The good and the bad answers.
-        event_seconds: The moving average of seconds for an event; 0 while
-            unknown.
+        event_seconds: The moving average of seconds for an event, where the
+            first one counts ``FIRST_EVENT_WEIGHT`` times; 0 while unknown.
+        first_seconds: The moving average of seconds to the first event; 0
+            while unknown.
+        gap_seconds: The moving average of seconds between events.
         score: The CUSUM of the evidence that the version is bad; 0 for the
             old version.
     """
@@ -88,8 +94,38 @@
         default_factory=verdict.AnswerCount
     )
     event_seconds: float = 0
+    first_seconds: float = 0
+    gap_seconds: float = 0
     score: float = 0
 
+    def record_times(self, report: slot.Report) -> None:
+        """Update the averages after a complete answer.
+
+        Args:
+            report: The report on the run.
+        """
+        seconds = report.total_seconds / (FIRST_EVENT_WEIGHT + report.events)
+        gap = (report.total_seconds - report.first_seconds) / max(
+            report.events, 1
+        )
+        weight = SMOOTHING if self.event_seconds else 1
+        self.event_seconds += weight * (seconds - self.event_seconds)
+        self.first_seconds += weight * (
+            report.first_seconds - self.first_seconds
+        )
+        self.gap_seconds += weight * (gap - self.gap_seconds)
+
+    def estimate_next_event(self, events: int) -> float:
+        """Estimate the time until the event after a number of events.
+
+        Args:
+            events: The events that came before it.
+
+        Returns:
+            The seconds since the request was sent.
+        """
+        return self.first_seconds + events * self.gap_seconds
+
 
 @dataclasses.dataclass
 class RolloutProgress:
@@ -264,7 +300,9 @@
         """Count an answer as good or bad.
 
         An error response is bad, and so is a slow answer of the new version.
-        Other outcomes are not counted.
+        An answer that did not end counts only if it was slow already: if
+        callers leave a slow version, its complete answers are the faster
+        ones. Other outcomes are not counted.
 
         Args:
             engine_state: The back end that ran the request.
@@ -275,22 +313,15 @@
         if rollout is None:
             return
         new = engine_state.engine.version == rollout.order.version
-        tally = rollout.find_tally(new, request.route)
         if report.outcome is slot.Outcome.failed:
             self._count(rollout, request.route, new, bad=True)
-        elif report.outcome is slot.Outcome.answered:
-            seconds = report.total_seconds / (
-                FIRST_EVENT_WEIGHT + report.events
-            )
-            slow = new and self._is_slow(
-                rollout, engine_state, request, seconds
-            )
-            tally.event_seconds += (
-                SMOOTHING * (seconds - tally.event_seconds)
-                if tally.event_seconds
-                else seconds
-            )
+            return
+        slow = new and self._is_slow(rollout, engine_state, request, report)
+        if report.outcome is slot.Outcome.answered:
+            rollout.find_tally(new, request.route).record_times(report)
             self._count(rollout, request.route, new, bad=slow)
+        elif slow and report.outcome in UNFINISHED_OUTCOMES:
+            self._count(rollout, request.route, new, bad=True)
 
     def decide(
         self, service: str, old_running: int
@@ -331,15 +362,21 @@
         rollout: RolloutProgress,
         engine_state: enginestate.EngineState,
         request: slot.SlotRequest,
-        seconds: float,
+        report: slot.Report,
     ) -> bool:
         if (
             engine_state.is_cold()
             or engine_state.measure_age() < WARMUP_SECONDS
         ):
             return False
-        baseline = rollout.find_tally(False, request.route).event_seconds
-        return bool(baseline) and seconds > SLOW_RATIO * baseline
+        old = rollout.find_tally(False, request.route)
+        if not old.event_seconds:
+            return False
+        if report.outcome in UNFINISHED_OUTCOMES:
+            usual = old.estimate_next_event(report.events)
+        else:
+            usual = old.event_seconds * (FIRST_EVENT_WEIGHT + report.events)
+        return report.total_seconds > SLOW_RATIO * usual
 
     def _count(
         self, rollout: RolloutProgress, route: str, new: bool, bad: bool
--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -219,3 +219,48 @@
     rollout = SimulatedRollout(reverted_order)
     rollout.run(1)
     assert not rollout.new_starts
+
+
+@pytest.mark.parametrize(
+    'report',
+    [
+        slot.Report(1, slot.Outcome.abandoned, 0, 2.4),
+        slot.Report(1, slot.Outcome.silent, 0.8, 5, 7),
+    ],
+)
+def test_version_that_callers_leave_is_reverted(
+    report: slot.Report,
+) -> None:
+    """Callers leave slow answers: the complete ones look fast enough.
+
+    Only complete answers were judged, so the version was completed.
+    """
+    rollout = SimulatedRollout()
+    engine_state = rollout._states['v2']
+    for _ in range(int(ORDER.seconds)):
+        rollout.run(1)
+        request = msgspec.structs.replace(SLOT_REQUEST, route='r1')
+        for _ in range(2):
+            rollout.table.note_end(engine_state, request, report)
+    assert rollout.states[-1] is rolloutprogress.State.reverted
+
+
+@pytest.mark.parametrize(
+    'report',
+    [
+        slot.Report(1, slot.Outcome.abandoned, 0, 0.25),
+        slot.Report(1, slot.Outcome.silent, 0.1, 5, 200),
+    ],
+)
+def test_early_ends_do_not_blame_a_good_version(
+    report: slot.Report,
+) -> None:
+    """Callers leave early, or long answers reach their time limit."""
+    rollout = SimulatedRollout()
+    engine_state = rollout._states['v2']
+    for _ in range(int(ORDER.seconds)):
+        rollout.run(1)
+        request = msgspec.structs.replace(SLOT_REQUEST, route='r1')
+        for _ in range(4):
+            rollout.table.note_end(engine_state, request, report)
+    assert rollout.states[-1] is rolloutprogress.State.complete
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -220,6 +220,13 @@
         '        return True',
         _BROKER,
     ),
+    guard_text.Guard(
+        'slow answers that end early blame a version',
+        'ops/rolloutprogress.py',
+        '        elif slow and report.outcome in UNFINISHED_OUTCOMES:',
+        '        elif False:',
+        'pimentoway/ops/rolloutprogress_test.py',
+    ),
     guard_text.Guard(
         'guaranteed part of long answers',
         'ops/routequeue.py',
