Learn the speed of a back end also from runs that end early

What callers would see: a back end so slow that its callers leave keeps the speed it had, since only complete answers counted, and is preferred as before. Evidence: test_back_end_that_callers_leave_is_avoided failed before (half of the grants or more) and passes. Change: a run that ended early raises the back end's relative duration if it has taken longer than usual for its events; it never lowers it.

--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -328,6 +328,9 @@
             stats = queue.stats_by_route[request.route]
             state.note_relative_duration(stats.compute_duration_ratio(report))
             stats.record_answer(request, report)
+        elif report.outcome in slot.UNFINISHED_OUTCOMES:
+            stats = queue.stats_by_route[request.route]
+            state.note_unfinished(stats.compute_duration_ratio(report))
         self.rollouts.note_end(state, request, report)
         self.grant_waiting(request.service)
 
--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -466,3 +466,29 @@
         slotrequest.make_slot_request(20, output_tokens=90, patience_left=0.1),
     )
     assert metric.SLOT_DECISIONS.labels(*labels)._value.get() == before + 1
+
+
+def test_back_end_that_callers_leave_is_avoided() -> None:
+    """Callers leave a slow back end: others are preferred to it.
+
+    Only complete answers counted for the speed of a back end.
+    """
+    simulation = load.Simulation(speeds=(1, 1))
+    replies = []
+    simulation.broker._reply = lambda requester, reply: replies.append(reply)
+    engines = []
+    for number in range(40):
+        simulation.broker.submit(
+            'other/1', slotrequest.make_slot_request(number)
+        )
+        engines.append(replies[-1].engine)
+        slow = engines[-1] == 'e0'
+        report = slot.Report(
+            number,
+            slot.Outcome.abandoned if slow else slot.Outcome.answered,
+            0 if slow else 0.1,
+            2.4 if slow else 0.3,
+        )
+        paused_loop.advance(0.01)
+        simulation.broker.finish('other/1', report)
+    assert engines[20:].count('e0') < engines[20:].count('e1') / 2
--- a/pimentoway/ops/enginestate.py
+++ b/pimentoway/ops/enginestate.py
@@ -239,6 +239,17 @@
         """
         self.relative_duration += SMOOTHING * (ratio - self.relative_duration)
 
+    def note_unfinished(self, ratio: float) -> None:
+        """Add the duration of a run that did not end to the moving average.
+
+        Args:
+            ratio: The duration up to now, relative to the usual one of as many
+                events; ignored if it shows no slowness, as the run might have
+                gone on.
+        """
+        if ratio > self.relative_duration:
+            self.note_relative_duration(ratio)
+
     def _count_usable(self, share: float, now: float) -> int:
         slots = self.engine.slots or DEFAULT_SLOTS
         reported = now - self._load_time < LOAD_EXPIRY_SECONDS
--- a/pimentoway/ops/enginestate_test.py
+++ b/pimentoway/ops/enginestate_test.py
@@ -129,3 +129,13 @@
     assert not state.is_cold()
     state.update(dataclasses.replace(cold, cold_seconds=1, born=2))
     assert state.is_cold()
+
+
+def test_unfinished_runs_only_show_slowness() -> None:
+    """Callers leave a slow back end: it does not keep its usual speed."""
+    state = enginestate.EngineState(ENGINE)
+    state.note_unfinished(0.2)
+    assert state.relative_duration == 1
+    for _ in range(30):
+        state.note_unfinished(4)
+    assert state.relative_duration > 3
--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -61,9 +61,6 @@
 #: The time until the first event counts as the time for this many events.
 FIRST_EVENT_WEIGHT = 4
 
-#: The outcomes of runs that may have ended early because they were slow.
-UNFINISHED_OUTCOMES = frozenset((slot.Outcome.abandoned, slot.Outcome.silent))
-
 _LOG = log.Log('rollout')
 
 
@@ -320,7 +317,7 @@
         if report.outcome is slot.Outcome.answered:
             rollout.find_tally(new, request.route).record_times(report)
             self._count(rollout, request.route, new, bad=slow)
-        elif slow and report.outcome in UNFINISHED_OUTCOMES:
+        elif slow and report.outcome in slot.UNFINISHED_OUTCOMES:
             self._count(rollout, request.route, new, bad=True)
 
     def decide(
@@ -372,7 +369,7 @@
         old = rollout.find_tally(False, request.route)
         if not old.event_seconds:
             return False
-        if report.outcome in UNFINISHED_OUTCOMES:
+        if report.outcome in slot.UNFINISHED_OUTCOMES:
             usual = old.estimate_next_event(report.events)
         else:
             usual = old.event_seconds * (FIRST_EVENT_WEIGHT + report.events)
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -54,6 +54,9 @@
 #: for its next slot like a new one, so its quota cost is refunded first.
 UNSENT_OUTCOMES = frozenset((Outcome.unreachable, Outcome.unused))
 
+#: The outcomes of runs that may have ended early because they were slow.
+UNFINISHED_OUTCOMES = frozenset((Outcome.abandoned, Outcome.silent))
+
 #: The outcomes that count as a fault of the back end.
 FAULT_OUTCOMES = frozenset(
     (
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -223,7 +223,7 @@
     guard_text.Guard(
         'slow answers that end early blame a version',
         'ops/rolloutprogress.py',
-        '        elif slow and report.outcome in UNFINISHED_OUTCOMES:',
+        '        elif slow and report.outcome in slot.UNFINISHED_OUTCOMES:',
         '        elif False:',
         'pimentoway/ops/rolloutprogress_test.py',
     ),
