Log how the end of an answer is marked and what it leaves unfinished

The line of a request could not tell a stream that was cut within an event from one that ended between two, nor an answer that ends with its connection from one with a length or chunks (the incident's hypotheses 1 to 3). The new fields are framing and unfinished; the flag until_close of an answer becomes its framing. No change of what is decided.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -143,6 +143,7 @@
         except error.ConnectionLostError as fault:
             raise self._handle_cut(fault) from fault
         self._metadata = metadata
+        context.framing = response.framing
         return response
 
     def _forward_response(
--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -277,6 +277,8 @@
             first=round(context.first_event_seconds, 4),
             total=round(total, 4),
             events=context.event_splitter.count,
+            framing=context.framing.value if context.framing else '',
+            unfinished=len(context.event_splitter.rest),
             limit=round(context.deadline - context.arrived, 3),
             goal=context.route.goal,
             remote=self._slots.is_remote,
--- a/pimentoway/callers/request_context.py
+++ b/pimentoway/callers/request_context.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from pimentoway.callers import response_writer
-from pimentoway.core import call, deployment, eventstream
+from pimentoway.core import call, deployment, eventstream, message
 
 #: The number of distinct route ranks within one customer rank; higher route
 #: ranks count as the last of them.
@@ -32,6 +32,8 @@
         possible_runs: The sends after which a back end may have run it.
         last_failure: The latest error response of a back end, which the caller
             gets if no other back end succeeds.
+        framing: How the end of the latest answer is marked; ``None`` before
+            an answer began.
         event_splitter: Splits the streamed response into events; it lives on
             when the stream is resumed at another back end.
         queue_seconds: The total time spent waiting for slots.
@@ -53,6 +55,7 @@
     sends: int = 0
     possible_runs: int = 0
     last_failure: response_writer.BufferedResponse | None = None
+    framing: message.Framing | None = None
     event_splitter: eventstream.EventSplitter = dataclasses.field(
         default_factory=eventstream.EventSplitter,
     )
--- a/pimentoway/core/message.py
+++ b/pimentoway/core/message.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 
 import httptools
 
@@ -221,6 +222,17 @@
         raise fault
 
 
+class Framing(enum.Enum):
+    """How the end of an answer's body is marked."""
+
+    # By a length, or by a status that allows no body.
+    length = 'length'
+    # By the last chunk.
+    chunks = 'chunks'
+    # By the end of the connection, whether or not the answer is whole.
+    connection = 'connection'
+
+
 @dataclasses.dataclass(eq=False)
 class Answer:
     """An answer, possibly not yet read completely.
@@ -233,7 +245,7 @@
         head_complete: Whether the head is complete.
         complete: Whether the answer is complete.
         length: The value of ``Content-Length``; ``None`` without one.
-        until_close: Whether the end of the connection ends the body.
+        framing: How the end of the body is marked.
         keep_alive: Whether the connection may carry another request.
     """
 
@@ -246,7 +258,7 @@
     head_complete: bool = False
     complete: bool = False
     length: int | None = None
-    until_close: bool = False
+    framing: Framing = Framing.length
     keep_alive: bool = False
 
 
@@ -287,8 +299,9 @@
     def end(self) -> None:
         """Handle the end of the connection."""
         self.broken = True
-        if self.answers and self.answers[-1].until_close:
-            self.answers[-1].complete = True
+        current = self.answers[-1] if self.answers else Answer()
+        if current.framing is Framing.connection:
+            current.complete = True
 
     def on_message_begin(self) -> None:
         """Add a new answer."""
@@ -326,13 +339,7 @@
                 current.length = int(text)
             elif lowered == _TRANSFER_ENCODING:
                 chunked = True
-        empty = (
-            current.status in _NO_BODY_STATUSES
-            or current.status < _FIRST_FINAL_STATUS
-        )
-        current.until_close = not (
-            empty or chunked or current.length is not None
-        )
+        current.framing = _find_framing(current, chunked)
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body.
@@ -349,7 +356,7 @@
         if current.status < _FIRST_FINAL_STATUS:
             self.answers.pop()
             return
-        if not current.until_close:
+        if current.framing is not Framing.connection:
             current.complete = True
 
     def _break_off(self, reason: str) -> None:
@@ -358,6 +365,19 @@
             raise error.ConnectionLostError(reason, 'read')
 
 
+def _find_framing(answer: Answer, chunked: bool) -> Framing:
+    if (
+        answer.status in _NO_BODY_STATUSES
+        or answer.status < _FIRST_FINAL_STATUS
+    ):
+        return Framing.length
+    if chunked:
+        return Framing.chunks
+    if answer.length is None:
+        return Framing.connection
+    return Framing.length
+
+
 def list_hop_by_hop_headers(headers: list[Header]) -> frozenset[bytes]:
     """List the headers of a message that must not be forwarded.
 
