Reproduce the incident: a stream cut within an event is framed as complete

The scripted engine could only answer with a length or chunks, so no test could fail; it now also answers with neither, and can reset its connection. Whole streams without a length, and resets, are as they should be and stay covered.

--- a/pimentoway/platform/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -455,6 +455,158 @@
     assert sum(count_requests(one, two).values()) == 1
 
 
+def make_cut_scripts() -> list[Script]:
+    """Make answers whose stream ends within an event.
+
+    Returns:
+        Answers of all three framings, with and without a media type, cut
+        within the first event and within a later one.
+    """
+    media_types: tuple[tuple[str, ...], ...] = (
+        (),
+        ('Content-Type: text/event-stream; charset=utf-8',),
+    )
+    framings: tuple[dict[str, bool], ...] = (
+        {'unframed': True},
+        {'chunked': True},
+        {},
+    )
+    cuts = (b'id', b'id: 3\n', b'id: 3\nda', b'id: 3\ndata: piece\n')
+    return [
+        Script(body=(*EVENTS[:whole], cut), headers=media_type, **framing)
+        for framing in framings
+        for media_type in media_types
+        for whole in (0, 2)
+        for cut in cuts
+    ]
+
+
+# A stream that is cut within an event must not reach its caller as complete.
+@pytest.mark.xfail(strict=True)
+@pytest.mark.parametrize('script', make_cut_scripts())
+def test_stream_cut_within_event_has_no_end(script: Script) -> None:
+    """Neither a last chunk nor a part of the event reaches the caller."""
+    engine = scripted_engine.ScriptedEngine('e1', script)
+    status, _, body = NodeHarness(engine).call('/stream/x')
+    assert not body.endswith(b'0\r\n\r\n')
+    assert body.count(b'data: piece') == (2 if status == 200 else 0)
+    assert status in {200, 502}
+
+
+# An empty body whose end is only that of the connection is not complete.
+@pytest.mark.xfail(strict=True)
+def test_stream_cut_before_first_event_fails() -> None:
+    """The connection ends after the head: the caller gets an error."""
+    engine = scripted_engine.ScriptedEngine(
+        'e1', Script(body=(), unframed=True)
+    )
+    assert NodeHarness(engine).call('/stream/x')[0] == 502
+
+
+# A stream that is cut within an event must be resumed where that is allowed.
+@pytest.mark.xfail(strict=True)
+@pytest.mark.parametrize('whole', [0, 2, 4])
+def test_stream_cut_within_event_resumes(whole: int) -> None:
+    """The rest of the events comes from another engine, none twice."""
+    one = scripted_engine.ScriptedEngine(
+        'e1', Script(body=(*EVENTS[:whole], b'id: 9\nda'), unframed=True)
+    )
+    two = scripted_engine.ScriptedEngine(
+        'e2', Script(body=EVENTS[whole:], unframed=True)
+    )
+    harness = NodeHarness(one)
+    task = gevent.spawn(harness.call, '/resumable/x')
+    gevent.sleep(0.02)
+    harness.add(two)
+    _, _, body = task.get(timeout=TIMEOUT_SECONDS)
+    assert body.count(b'data: piece') == len(EVENTS)
+    assert body.endswith(b'0\r\n\r\n')
+    assert b'id: 9' not in body
+    last_ids = [b'%d' % whole] if whole else []
+    assert two.list_header_values(b'last-event-id') == last_ids
+
+
+# The end of a resumed stream is checked like that of the first engine's.
+@pytest.mark.xfail(strict=True)
+def test_resumed_stream_cut_within_event_has_no_end() -> None:
+    """Each engine's stream ends within an event: the caller sees no end."""
+    engines = [
+        scripted_engine.ScriptedEngine(
+            f'e{number}',
+            Script(body=(EVENTS[number], b'id: 9\nda'), unframed=True),
+        )
+        for number in range(3)
+    ]
+    _, _, body = NodeHarness(*engines).call('/resumable/x')
+    assert sum(count_requests(*engines).values()) == 3
+    assert body.count(b'data: piece') == 3
+    assert not body.endswith(b'0\r\n\r\n')
+
+
+# A cut stream is evidence against its request, not for it.
+@pytest.mark.xfail(strict=True)
+def test_request_whose_streams_are_cut_is_blocked() -> None:
+    """After three engines cut it within an event, a fourth does not get it."""
+    script = Script(body=(EVENTS[0], b'id: 2\nda'), unframed=True)
+    engines = [
+        scripted_engine.ScriptedEngine(f'e{number}', script)
+        for number in range(3)
+    ]
+    harness = NodeHarness(*engines)
+    harness.call('/resumable/x')
+    fourth = scripted_engine.ScriptedEngine('e4', script)
+    harness.add(fourth)
+    assert harness.call('/resumable/x')[0] == 503
+    assert not fourth.requests
+
+
+@pytest.mark.parametrize('path', ['/stream/x', '/resumable/x'])
+@pytest.mark.parametrize(
+    ('headers', 'body'),
+    [
+        ((), EVENTS),
+        (('Content-Type: text/event-stream',), EVENTS),
+        ((), (*EVENTS, b': the end\n')),
+        ((), (*EVENTS, b'\r\n: the')),
+        (('Content-Type: application/json',), (b'{"data": "piece"}',)),
+    ],
+)
+def test_whole_stream_without_length_is_complete(
+    path: str, headers: tuple[str, ...], body: tuple[bytes, ...]
+) -> None:
+    """It ends with its connection; comments after its events belong to it."""
+    engine = scripted_engine.ScriptedEngine(
+        'e1', Script(body=body, headers=headers, unframed=True)
+    )
+    status, _, received = NodeHarness(engine).call(path)
+    assert status == 200
+    assert received.endswith(b'0\r\n\r\n')
+    assert received.count(b'piece') == b''.join(body).count(b'piece')
+    assert len(engine.requests) == 1
+
+
+@pytest.mark.parametrize('pieces', [0, 2])
+def test_reset_stream_without_length_has_no_end(pieces: int) -> None:
+    """A reset between two events is no end of the stream."""
+    script = Script(body=EVENTS[:pieces], unframed=True, reset=True)
+    engine = scripted_engine.ScriptedEngine('e1', script)
+    _, _, body = NodeHarness(engine).call('/stream/x')
+    assert not body.endswith(b'0\r\n\r\n')
+
+
+@pytest.mark.parametrize(('reset', 'status'), [(False, 200), (True, 502)])
+def test_plain_answer_without_length_ends_with_its_connection(
+    reset: bool, status: int
+) -> None:
+    """If the connection is reset instead, the answer is not complete."""
+    script = Script(body=(b'do', b'ne'), unframed=True, reset=reset)
+    engine = scripted_engine.ScriptedEngine('e1', script)
+    received, _, body = NodeHarness(engine).call('/unsafe/x')
+    assert received == status
+    assert (body == b'done') == (status == 200)
+    assert len(engine.requests) == 1
+
+
 @pytest.mark.parametrize(
     'script',
     [
--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -6,6 +6,8 @@
 
 import collections
 import dataclasses
+import socket
+import struct
 
 import gevent
 from gevent import server as gevent_server
@@ -19,6 +21,9 @@
 #: The most bytes of a request's head, and of its body.
 MAX_PART_BYTES = 1_000_000
 
+#: Seconds between the body of an answer and the reset of its connection.
+RESET_DELAY_SECONDS = 0.05
+
 ATTEMPT_ID = b'pimentoway-attempt-id'
 
 
@@ -32,6 +37,9 @@
         headers: Header lines besides those that follow from the script.
         sealed: Whether the answer carries the seal of the engine.
         chunked: Whether the body is sent in chunks, one for each piece.
+        unframed: Whether the body has neither a length nor chunks and ends
+            with the connection.
+        reset: Whether the connection is reset after the body, not closed.
         pause: Seconds before the head and after each piece.
         close_after: The number of pieces after which the connection is closed;
             ``None`` to send the whole answer.
@@ -47,6 +55,8 @@
     headers: tuple[str, ...] = ()
     sealed: bool = True
     chunked: bool = False
+    unframed: bool = False
+    reset: bool = False
     pause: float = 0
     close_after: int | None = None
     foreign: bool = False
@@ -152,7 +162,9 @@
             return _send_without_end(sock, script.endless)
         if script.chunked:
             sock.sendall(b'0\r\n\r\n')
-        return True
+        if script.reset:
+            _reset_on_close(sock)
+        return not (script.unframed or script.reset)
 
     def _make_head(self, request: message.Request, script: Script) -> bytes:
         attempt_id = request.list_header_values(ATTEMPT_ID)[0].decode()
@@ -165,7 +177,7 @@
             lines.append(f'Pimentoway-Response-Seal: {self.name}.{attempt_id}')
         if script.chunked:
             lines.append('Transfer-Encoding: chunked')
-        else:
+        elif not script.unframed:
             lines.append(f'Content-Length: {sum(map(len, script.body))}')
         head = '\r\n'.join(lines)
         return f'{head}\r\n\r\n'.encode()
@@ -178,6 +190,13 @@
     )
 
 
+def _reset_on_close(sock: gevent_socket.socket) -> None:
+    # The pieces must arrive before the reset, which discards unread bytes.
+    gevent.sleep(RESET_DELAY_SECONDS)
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _send_without_end(sock: gevent_socket.socket, repeated: bytes) -> bool:
     block = repeated * (BLOCK_BYTES // len(repeated))
     while True:
