Let the soak's engines answer without a length and crash within an event

The soak's engines always sent chunks, so its check of whole answers could not see a cut stream framed as complete. Half of their streams now end with their connection, and an engine that crashes ends these within an event. Also tests of the own interface for the same cause: answers of applications and streams of engines that are cut or reset are refused there, whole ones without a length accepted; they passed on the code before, so that interface did not have the fault (a stream has a mark of its end there).

--- /dev/null
+++ b/pimentoway/backends/exchange_process_test.py
@@ -0,0 +1,122 @@
+"""Tests of answers that end with their connection, over real sockets."""
+
+import socket
+import struct
+
+import gevent
+import pytest
+from gevent import server as gevent_server
+from gevent import socket as gevent_socket
+
+from pimentoway.backends import exchange
+from pimentoway.core import clock, configuration, connection, error, request
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+
+EVENTS = (
+    b'id: 1\ndata: {"id": "r1"}\n\n',
+    b'id: 2\ndata: {"id": "r1"}\n\n',
+    b'id: 3\ndata: [DONE]\n\n',
+)
+
+
+class ClosingBackend:
+    """A back end that sends fixed bytes and ends the connection.
+
+    Attributes:
+        address: Its IP number and port.
+    """
+
+    def __init__(self, answer: bytes, reset: bool = False) -> None:
+        """Start listening on a free port of localhost.
+
+        Args:
+            answer: The bytes of each answer.
+            reset: Whether the connection is reset after them, not closed.
+        """
+        self._answer = answer
+        self._reset = reset
+        self._server = gevent_server.StreamServer(
+            ('127.0.0.1', 0), self._handle
+        )
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.server_port}'
+
+    def _handle(self, sock: gevent_socket.socket, address: tuple) -> None:
+        sock.recv(connection.BLOCK_BYTES)
+        sock.sendall(self._answer)
+        if self._reset:
+            gevent.sleep(0.05)
+            linger = struct.pack('ii', 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def read_answer(
+    backend_type: type[configuration.Backend], peer: ClosingBackend
+) -> list[request.Piece]:
+    """Send a request to a back end and read its answer.
+
+    Args:
+        backend_type: The type of the back end.
+        peer: The back end.
+
+    Returns:
+        The pieces of the answer.
+    """
+    backend = backend_type('b1', peer.address, 'norte', 'text', 'v1')
+    sent = request.Request(
+        request_id='r1',
+        caller=configuration.Caller('clerk', 'studio', 'urgent', ''),
+        rank=0,
+        weight=1,
+        service=configuration.Service('text', 'text'),
+        body=b'{}',
+        deadline=clock.read_monotonic() + 3,
+    )
+    link = exchange.BackendLink(
+        connection.Pool(), on_report=lambda name, report: None
+    )
+    return list(exchange.open_answer(backend, sent, link))
+
+
+def test_whole_answer_without_length_is_accepted() -> None:
+    """The answer of an application ends with its connection."""
+    peer = ClosingBackend(b'%s\r\nrecorded' % HEAD)
+    pieces = read_answer(configuration.Application, peer)
+    assert [piece.payload for piece in pieces] == [b'recorded']
+
+
+@pytest.mark.parametrize(
+    ('framing', 'reset'),
+    [
+        (b'\r\nrecor', True),
+        (b'Content-Length: 8\r\n\r\nrecor', False),
+        (b'Transfer-Encoding: chunked\r\n\r\n8\r\nrecor', False),
+        (b'Transfer-Encoding: chunked\r\n\r\n5\r\nrecor\r\n', False),
+    ],
+)
+def test_cut_answer_is_not_accepted(framing: bytes, reset: bool) -> None:
+    """Part of the answer of an application must not count as its outcome."""
+    peer = ClosingBackend(HEAD + framing, reset)
+    with pytest.raises(error.ConnectionLostError):
+        read_answer(configuration.Application, peer)
+
+
+def test_whole_stream_without_length_is_accepted() -> None:
+    """The stream of an engine ends with its connection, after its mark."""
+    peer = ClosingBackend(b'%s\r\n%s' % (HEAD, b''.join(EVENTS)))
+    pieces = read_answer(configuration.Engine, peer)
+    assert [piece.sequence for piece in pieces] == [1, 2, 3]
+    assert pieces[-1].final
+
+
+@pytest.mark.parametrize(
+    'cut', [0, 3, 20, len(EVENTS[0]), len(EVENTS[0]) + 20, -2, -4, -9]
+)
+@pytest.mark.parametrize('reset', [False, True])
+def test_cut_stream_is_not_accepted(cut: int, reset: bool) -> None:
+    """The end of the connection is not the end of the stream."""
+    sent = b''.join(EVENTS)[:cut]
+    peer = ClosingBackend(b'%s\r\n%s' % (HEAD, sent), reset)
+    with pytest.raises(error.ConnectionLostError):
+        read_answer(configuration.Engine, peer)
--- a/pimentoway/platform/recording_engine.py
+++ b/pimentoway/platform/recording_engine.py
@@ -1,6 +1,7 @@
 """A stand-in for a correct engine, which records what it ran."""
 
 import dataclasses
+import zlib
 
 import gevent
 from gevent import socket as gevent_socket
@@ -44,7 +45,10 @@
 class RecordingEngine(scripted_engine.ScriptedEngine):
     """An engine that runs each request and answers by its path.
 
+    Half of its streams have neither a length nor chunks.
+
     Attributes:
+        crashing: Whether it ends its streams within their next event.
         runs: The runs, in the order of their starts.
         failed_connections: The connections that broke while being served.
     """
@@ -56,6 +60,7 @@
             name: The name that requests must expect.
         """
         super().__init__(name)
+        self.crashing = False
         self.runs: list[Run] = []
         self.failed_connections = 0
 
@@ -86,6 +91,17 @@
         gevent.sleep(RUN_SECONDS)
         return super()._answer(sock, request, _make_script(attempt_id, request))
 
+    def _send_piece(
+        self,
+        sock: gevent_socket.socket,
+        script: scripted_engine.Script,
+        piece: bytes,
+    ) -> bool:
+        if self.crashing and script.unframed:
+            sock.sendall(piece[: len(piece) // 2])
+            return False
+        return super()._send_piece(sock, script, piece)
+
 
 def _make_script(
     attempt_id: str, request: message.Request
@@ -94,10 +110,12 @@
         return scripted_engine.Script(body=(make_body(attempt_id),))
     after = request.list_header_values(_LAST_EVENT_ID)
     events = list_events(attempt_id)[int(after[0]) if after else 0 :]
+    unframed = bool(zlib.crc32(attempt_id.encode()) % 2)
     return scripted_engine.Script(
         body=tuple(events),
         headers=('Content-Type: text/event-stream',),
-        chunked=True,
+        chunked=not unframed,
+        unframed=unframed,
         pause=EVENT_GAP_SECONDS,
     )
 
--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -153,10 +153,9 @@
             return _send_without_end(sock, script.endless)
         sock.sendall(head)
         for number, piece in enumerate(script.body):
-            if script.close_after == number:
-                sock.close()
+            ended = script.close_after == number
+            if ended or not self._send_piece(sock, script, piece):
                 return False
-            sock.sendall(_encode_chunk(piece) if script.chunked else piece)
             gevent.sleep(script.pause)
         if script.endless:
             return _send_without_end(sock, script.endless)
@@ -166,6 +165,22 @@
             _reset_on_close(sock)
         return not (script.unframed or script.reset)
 
+    def _send_piece(
+        self, sock: gevent_socket.socket, script: Script, piece: bytes
+    ) -> bool:
+        """Send a piece of the body.
+
+        Args:
+            sock: The connection.
+            script: The answer.
+            piece: The piece.
+
+        Returns:
+            Whether the answer goes on.
+        """
+        sock.sendall(_encode_chunk(piece) if script.chunked else piece)
+        return True
+
     def _make_head(self, request: message.Request, script: Script) -> bytes:
         attempt_id = request.list_header_values(ATTEMPT_ID)[0].decode()
         lines = [
--- a/pimentoway/soak/stage.py
+++ b/pimentoway/soak/stage.py
@@ -133,11 +133,16 @@
             node.kill()
 
     def lose_engine(self, proxied: ProxiedEngine) -> None:
-        """Make an engine unreachable and remove its record from the store.
+        """Crash an engine and remove its record from the store.
+
+        Streams that end with their connection end within an event; then the
+        engine is unreachable.
 
         Args:
             proxied: The engine.
         """
+        proxied.engine.crashing = True
+        gevent.sleep(recording_engine.EVENT_GAP_SECONDS * 2)
         proxied.proxy.refuses_connections = True
         proxied.proxy.reset()
         self.store.remove(registry.Kind.engines, proxied.engine.name)
@@ -157,6 +162,7 @@
         Args:
             proxied: The engine.
         """
+        proxied.engine.crashing = False
         proxied.proxy.restore()
         proxied.record = dataclasses.replace(
             proxied.record, born=proxied.record.born + 1, draining=False
