--- a/pimentoway/backends/exchange_process_test.py
+++ b/pimentoway/backends/exchange_process_test.py
@@ -110,9 +110,7 @@
     assert pieces[-1].final
 
 
-@pytest.mark.parametrize(
-    'cut', [0, 3, 20, len(EVENTS[0]), len(EVENTS[0]) + 20, -2, -4, -9]
-)
+@pytest.mark.parametrize('cut', [0, 3, 20, 27, 47, -2, -4, -9])
 @pytest.mark.parametrize('reset', [False, True])
 def test_cut_stream_is_not_accepted(cut: int, reset: bool) -> None:
     """The end of the connection is not the end of the stream."""
