--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -24,6 +24,10 @@
 #: Seconds between the body of an answer and the reset of its connection.
 RESET_DELAY_SECONDS = 0.05
 
+#: The path of the load report, and an answer without a load.
+REPORT_PATH = b'/pimentoway/report'
+REPORT_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+
 ATTEMPT_ID = b'pimentoway-attempt-id'
 
 
@@ -118,6 +122,9 @@
         reader = message.RequestReader(MAX_PART_BYTES, MAX_PART_BYTES)
         while self._read_request(sock, reader):
             request = reader.requests.popleft()
+            if request.target == REPORT_PATH:
+                sock.sendall(REPORT_ANSWER)
+                continue
             self.requests.append(request)
             script = self.scripts[0]
             if len(self.scripts) > 1:
