Tell crashes of back ends from broken connections, and log the parts of prompts

A run that is cut is no evidence of a crash: connections are reset, links drop packets, engines garble answers and close. After a cut of a request whose prompt has shared parts the node now asks the back end for its load report; one that refuses or closes the connection has crashed, one that is slow has not. The broker gets the outcome crashed in place of cut, and the line of a request has its parts and the back ends that crashed under it. Decisions are the same as for a cut so far.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from pimentoway.backends import channel
+from pimentoway.backends import channel, liveness
 from pimentoway.callers import request_context, response_writer
 from pimentoway.core import call, clock, deployment, error, message
 from pimentoway.ops import slot, slotclient
@@ -45,11 +45,13 @@
         slots: The client that reports to the broker how a grant ended.
         channels: The connections to back ends.
         dialect: Decodes and encodes the platform's HTTP headers.
+        liveness_checker: Tells crashes from broken connections.
     """
 
     slots: slotclient.SlotClient
     channels: channel.ChannelPool
     dialect: call.Dialect
+    liveness_checker: liveness.LivenessChecker
 
 
 class BackendAttempt:
@@ -303,6 +305,8 @@
         silent = isinstance(fault, channel.SilentError)
         self._outcome = slot.Outcome.silent if silent else slot.Outcome.cut
         context = self._context
+        if not silent:
+            self._check_crash()
         if context.may_retry() and clock.read_monotonic() < context.deadline:
             return RetryError()
         if silent:
@@ -313,6 +317,17 @@
             )
         return error.FailedError(fault.reason, fault.step, fault.peer)
 
+    def _check_crash(self) -> None:
+        # Only crashes count as evidence against parts of a prompt.
+        if not self._context.request.shared_parts:
+            return
+        if self._dependencies.liveness_checker.has_crashed(self._engine):
+            self._outcome = slot.Outcome.crashed
+            self._context.crashed_engines = (
+                *self._context.crashed_engines,
+                self._engine.name,
+            )
+
     def _make_failure(self, reason: str) -> Exception:
         if self._context.may_retry():
             return RetryError()
--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -2,7 +2,7 @@
 
 import math
 
-from pimentoway.backends import channel
+from pimentoway.backends import channel, liveness
 from pimentoway.callers import (
     backend_attempt,
     connection,
@@ -66,7 +66,10 @@
         self._slots = slots
         self._dialect = dialect
         self._dependencies = backend_attempt.Dependencies(
-            slots, channels, dialect
+            slots,
+            channels,
+            dialect,
+            liveness.LivenessChecker(dialect.liveness_probe),
         )
 
     def read_limits(self) -> deployment.CallerLimits:
@@ -216,6 +219,7 @@
             fingerprint=context.compute_fingerprint(),
             repeats=context.sends,
             avoided=context.avoided,
+            parts=context.request.shared_parts,
         )
         context.slot_request_numbers = (
             *context.slot_request_numbers,
@@ -269,7 +273,9 @@
             prompt=token_counts.prompt_tokens,
             output=token_counts.output_tokens,
             hinted=token_counts.hinted_tokens,
+            parts=[f'{part:x}' for part in context.request.shared_parts],
             engine=context.engine_name,
+            crashed=context.crashed_engines,
             avoided=context.avoided,
             runs=context.possible_runs,
             repeats=context.sends,
--- a/pimentoway/callers/request_context.py
+++ b/pimentoway/callers/request_context.py
@@ -28,6 +28,7 @@
         deadline: When the node gives up on it.
         writer: Writes the response to the caller.
         avoided: The back ends that must not be granted for it again.
+        crashed_engines: Those of them that crashed while they ran it.
         sends: How often it was sent to a back end.
         possible_runs: The sends after which a back end may have run it.
         last_failure: The latest error response of a back end, which the caller
@@ -52,6 +53,7 @@
     deadline: float
     writer: response_writer.ResponseWriter
     avoided: tuple[str, ...] = ()
+    crashed_engines: tuple[str, ...] = ()
     sends: int = 0
     possible_runs: int = 0
     last_failure: response_writer.BufferedResponse | None = None
--- a/pimentoway/core/call.py
+++ b/pimentoway/core/call.py
@@ -63,6 +63,8 @@
         key: The caller's API key; '' if missing.
         timeout_seconds: The caller's time limit; ``None`` if it states none.
         token_counts: The stated token counts; ``None`` if it states none.
+        shared_parts: The digests of the parts of its prompt that it may share
+            with others, in order.
         headers: The headers to forward to the back end.
         body: The body.
         keep_alive: Whether the connection may carry another request.
@@ -81,6 +83,7 @@
     body: bytes
     keep_alive: bool
     resumes: bool
+    shared_parts: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,9 +155,12 @@
         write_request: Encodes the head of a request for a back end.
         read_metadata: Decodes the metadata in the headers of an answer.
         ready_path: The path of the load balancer's readiness check.
+        liveness_probe: A request that running back ends answer at once,
+            whatever their load.
     """
 
     read_request: collections.abc.Callable[[message.Request], CallerRequest]
     write_request: collections.abc.Callable[[Dispatch], bytes]
     read_metadata: collections.abc.Callable[[message.Answer], AnswerMetadata]
     ready_path: str
+    liveness_probe: bytes
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -321,7 +321,7 @@
         queue.stats_by_route[request.route].running -= 1
         if report.outcome in slot.UNSENT_OUTCOMES:
             self._admission.refund(request)
-        elif report.outcome is slot.Outcome.cut:
+        elif report.outcome in slot.BROKEN_OUTCOMES:
             self._admission.note_break(request, state.engine.name)
         elif report.outcome is slot.Outcome.answered:
             self._admission.note_answer(request)
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -38,6 +38,13 @@
     abandoned = 9
     # The node did not use the grant.
     unused = 10
+    # The connection closed before the answer was complete, and the back end
+    # refuses new ones.
+    crashed = 11
+
+
+#: The outcomes of runs whose connection closed before their end.
+BROKEN_OUTCOMES = frozenset((Outcome.cut, Outcome.crashed))
 
 
 #: The outcomes after which the request has certainly not run.
@@ -62,6 +69,7 @@
     (
         Outcome.unreachable,
         Outcome.cut,
+        Outcome.crashed,
         Outcome.silent,
         Outcome.malformed,
         Outcome.misdirected,
@@ -89,6 +97,8 @@
         fingerprint: A digest that identifies the request when it returns.
         repeats: How many times it has reached a back end before.
         avoided: The names of the back ends that must not get it.
+        parts: The digests of the parts of its prompt that other requests may
+            have, too.
     """
 
     number: int
@@ -107,6 +117,7 @@
     fingerprint: int
     repeats: int = 0
     avoided: tuple[str, ...] = ()
+    parts: tuple[int, ...] = ()
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/pimentoway/platform/wire.py
+++ b/pimentoway/platform/wire.py
@@ -2,6 +2,8 @@
 
 import contextlib
 
+import xxhash
+
 from pimentoway.core import call, message
 
 #: Milliseconds in a second.
@@ -10,6 +12,15 @@
 #: The path of the load balancer's readiness check.
 READY_PATH = '/pimentoway/readyz'
 
+#: The load report needs no slot, so an engine answers at once when it is full.
+LIVENESS_PROBE = (
+    b'GET /pimentoway/report HTTP/1.1\r\nHost: back-end\r\n'
+    b'Connection: close\r\n\r\n'
+)
+
+#: The most parts of a prompt that are read; further ones are ignored.
+MAX_PARTS = 32
+
 _REQUEST_ID = b'pimentoway-attempt-id'
 # The remaining time in milliseconds, not a point in time.
 _DEADLINE = b'pimentoway-deadline-ms'
@@ -17,6 +28,9 @@
 _API_KEY = b'x-api-key'
 # "PROMPT,OUTPUT": the tokens of the prompt and the limit on output tokens.
 _TOKEN_COUNTS = b'pimentoway-token-counts'
+# "ID:TOKENS,...": the parts of the prompt in order. The last one belongs to the
+# request itself or to its session.
+_PROMPT_PARTS = b'pimentoway-prefix-hash'
 _LENGTH_HINT = b'pimentoway-length-hint'
 _ENGINE_NAME = b'Pimentoway-Expect-Instance'
 # The name of the customer that owns the caller's key.
@@ -61,7 +75,7 @@
         _TOKEN_COUNTS,
         _HOST,
         b'pimentoway-model',
-        b'pimentoway-prefix-hash',
+        _PROMPT_PARTS,
     ),
 )
 
@@ -105,6 +119,7 @@
         body=bytes(raw.body),
         keep_alive=raw.keep_alive,
         resumes=_EVENT_ID in texts_by_name,
+        shared_parts=_read_shared_parts(raw),
     )
 
 
@@ -150,6 +165,16 @@
     return call.TokenCounts(prompt_tokens, output_tokens, hinted_tokens)
 
 
+def _read_shared_parts(raw: message.Request) -> tuple[int, ...]:
+    # Repeated headers form one list.
+    text = b','.join(raw.list_header_values(_PROMPT_PARTS))
+    entries = text.split(b',', MAX_PARTS)[:MAX_PARTS]
+    return tuple(
+        xxhash.xxh64_intdigest(entry.partition(b':')[0].strip().lower())
+        for entry in entries[:-1]
+    )
+
+
 def write_request(dispatch: call.Dispatch) -> bytes:
     """Encode the head of a request for a back end.
 
@@ -234,4 +259,5 @@
     write_request=write_request,
     read_metadata=read_metadata,
     ready_path=READY_PATH,
+    liveness_probe=LIVENESS_PROBE,
 )
--- a/pimentoway/platform/wire_test.py
+++ b/pimentoway/platform/wire_test.py
@@ -192,3 +192,24 @@
         None,
         None,
     )
+
+
+def test_last_part_of_a_prompt_is_not_shared() -> None:
+    """Equal parts have equal digests, whatever their lengths and spelling."""
+    # The head has a header with the parts 5c and 91.
+    one = read(b'Pimentoway-Prefix-Hash: aa:60,bb:7,cc:5\r\n')
+    two = read(
+        b'Pimentoway-Prefix-Hash: AA:60\r\n'
+        b'Pimentoway-Prefix-Hash: bb:9,dd:1\r\n'
+    )
+    assert len(set(one.shared_parts)) == 4
+    assert one.shared_parts == two.shared_parts
+    assert read().shared_parts == one.shared_parts[:1]
+    assert read(head=b'GET / HTTP/1.1\r\nHost: h\r\n').shared_parts == ()
+
+
+def test_number_of_parts_is_bounded() -> None:
+    """A header with thousands of parts costs no more than one with a few."""
+    entries = b','.join(b'%x:1' % number for number in range(500))
+    request = read(b'Pimentoway-Prefix-Hash: %s\r\n' % entries)
+    assert len(request.shared_parts) < wire.MAX_PARTS
