Keep blocked parts of prompts in the platform's store

A block was known to the broker that set it only: when the nodes chose another broker, after a restart of all nodes, or in a failure domain that is cut off and uses a broker of its own, the part crashed three more back ends before it was blocked again, once for each broker. Change: the broker writes a block to the store (kind pimentoway-part-blocks), and all nodes follow that kind like the others; a node applies it from when it learns of it, as the time of day is not to be trusted. An answer removes it. Writes are repeated until they succeed; meanwhile the block is in force at its broker. Result: test_block_outlasts_the_broker_that_set_it and the tests of the ledger pass. Crashes that are counted but don't block yet are still lost with their broker.

--- a/pimentoway/core/deployment.py
+++ b/pimentoway/core/deployment.py
@@ -316,6 +316,30 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True)
+class PartBlock:
+    """A part of prompts that is blocked, as it crashes back ends.
+
+    Attributes:
+        service: The name of the service whose back ends it crashes.
+        part: The digest of the part.
+        seconds: For how long it is blocked from when a node learns of it.
+    """
+
+    service: str
+    part: int
+    seconds: float
+
+    @property
+    def name(self) -> str:
+        """Name of its record in the store.
+
+        Returns:
+            The name, unique among all blocks.
+        """
+        return f'{self.service}.{self.part:x}'
+
+
 @dataclasses.dataclass(frozen=True)
 class Peer:
     """A node as it registered itself in the store.
--- a/pimentoway/core/registry.py
+++ b/pimentoway/core/registry.py
@@ -12,6 +12,7 @@
     | deployment.Engine
     | deployment.Rollout
     | deployment.Peer
+    | deployment.PartBlock
     | str
 )
 
@@ -24,6 +25,7 @@
     rollouts = 'rollouts'
     evacuations = 'evacuations'
     peers = 'peers'
+    part_blocks = 'part_blocks'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,6 +120,22 @@
             name: The name of the node.
         """
 
+    @abc.abstractmethod
+    def put_part_block(self, block: deployment.PartBlock) -> None:
+        """Store a block of a part of prompts, or replace it.
+
+        Args:
+            block: The block.
+        """
+
+    @abc.abstractmethod
+    def remove_part_block(self, block: deployment.PartBlock) -> None:
+        """Remove a block of a part of prompts.
+
+        Args:
+            block: The block.
+        """
+
     @abc.abstractmethod
     def report_rollout(self, rollout: deployment.Rollout, state: str) -> None:
         """Store the state of a rollout with its order.
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -26,6 +26,7 @@
         registry.Kind.rollouts: deployment.Rollout,
         registry.Kind.evacuations: str,
         registry.Kind.peers: deployment.Peer,
+        registry.Kind.part_blocks: deployment.PartBlock,
     },
 )
 
--- a/pimentoway/ops/admit.py
+++ b/pimentoway/ops/admit.py
@@ -48,7 +48,11 @@
 
 
 class AdmissionControl:
-    """Decides which requests may wait, and keeps the accounts for that."""
+    """Decides which requests may wait, and keeps the accounts for that.
+
+    Attributes:
+        parts: The evidence against parts of prompts.
+    """
 
     def __init__(
         self, bounds: nodesetting.Bounds, registry_view: view.View
@@ -63,7 +67,7 @@
         self._view = registry_view
         self._quotas = quota.QuotaLedger(bounds)
         self._crashes = crash.CrashLedger()
-        self._parts = partledger.PartLedger()
+        self.parts = partledger.PartLedger()
         self._target_time_by_refused: dict[int, float] = {}
         self._requests_by_service: dict[str, window.Window] = {}
         self._repeats_by_service: dict[str, window.Window] = {}
@@ -187,7 +191,7 @@
             crash_id: Identifies the crash.
             started: The monotonic time at which the slot was granted.
         """
-        self._parts.record_crash(crash_id, _list_parts(request), started)
+        self.parts.record_crash(crash_id, _list_parts(request), started)
 
     def has_blocked_part(self, request: slot.SlotRequest) -> bool:
         """Tell whether a part of a request's prompt is blocked.
@@ -198,7 +202,7 @@
         Returns:
             Whether one is.
         """
-        return self._parts.is_blocked(_list_parts(request))
+        return self.parts.is_blocked(_list_parts(request))
 
     def note_answer(self, request: slot.SlotRequest) -> None:
         """Clear an answered request and the parts of its prompt.
@@ -207,12 +211,12 @@
             request: The slot request.
         """
         self._crashes.record_answer(request.fingerprint)
-        self._parts.record_answer(_list_parts(request))
+        self.parts.record_answer(_list_parts(request))
 
     def _compute_block_seconds(self, request: slot.SlotRequest) -> float:
         return max(
             self._crashes.compute_block_seconds(request.fingerprint),
-            self._parts.compute_block_seconds(_list_parts(request)),
+            self.parts.compute_block_seconds(_list_parts(request)),
         )
 
     def _allows_repeat(
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -57,6 +57,7 @@
     Attributes:
         engines: The back ends of all services.
         rollouts: The rollouts of all services.
+        parts: The evidence against parts of prompts.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
             )
         )
         self._admission = admit.AdmissionControl(bounds, registry_view)
+        self.parts = self._admission.parts
         registry_view.subscribe(self._on_view_change)
         self._on_view_change(registry.Kind.engines)
 
@@ -418,6 +420,8 @@
                 stats.running = counts[route]
 
     def _on_view_change(self, kind: registry.Kind) -> None:
+        if kind is registry.Kind.part_blocks:
+            self.parts.adopt(self._view.part_blocks_by_name.values())
         self.engines.update()
         self.rollouts.update()
         for service in list(self._queue_by_service):
--- a/pimentoway/ops/partledger.py
+++ b/pimentoway/ops/partledger.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 
-from pimentoway.core import clock, log
+from pimentoway.core import clock, deployment, log
 
 #: The crashes in a row after which a part is blocked if it had more than any
 #: part that was running beside it.
@@ -73,19 +73,27 @@
             through after the block has ended.
         crashes: The crashes for which it was blocked; empty if another node
             blocked it.
+        stored: Whether the store has had the block.
     """
 
     seconds: float
     until: float
     trial_until: float
     crashes: frozenset[str]
+    stored: bool = False
 
 
 class PartLedger:
-    """Counts crashes for each part, and blocks the parts that cause them."""
+    """Counts crashes for each part, and blocks the parts that cause them.
+
+    Attributes:
+        unstored_by_part: The blocks that the store does not have yet, and the
+            released ones that it still has to remove, which have 0 seconds.
+    """
 
     def __init__(self) -> None:
         """Start without suspected parts."""
+        self.unstored_by_part: dict[Part, deployment.PartBlock] = {}
         self._suspicion_by_part: collections.OrderedDict[Part, _Suspicion] = (
             collections.OrderedDict()
         )
@@ -115,10 +123,8 @@
         """
         for part in parts:
             self._suspicion_by_part.pop(part, None)
-            if self._block_by_part.pop(part, None):
-                _log_part(
-                    'part of prompts is unblocked, it was answered.', part
-                )
+            if part in self._block_by_part:
+                self._release(part, 'it was answered')
 
     def compute_block_seconds(
         self, parts: collections.abc.Iterable[Part]
@@ -158,6 +164,32 @@
         """
         return any(part in self._block_by_part for part in parts)
 
+    def adopt(
+        self, blocks: collections.abc.Collection[deployment.PartBlock]
+    ) -> None:
+        """Apply the blocks that the store has, also those of other brokers.
+
+        Args:
+            blocks: All of them.
+        """
+        stored = {(block.service, block.part): block for block in blocks}
+        for part, block in stored.items():
+            self._adopt_block(part, block.seconds)
+        for name, held in list(self._block_by_part.items()):
+            if held.stored and name not in stored:
+                self._block_by_part.pop(name)
+                _log_part('part of prompts is unblocked by another node.', name)
+
+    def _adopt_block(self, part: Part, seconds: float) -> None:
+        known = self._block_by_part.get(part)
+        if known and known.seconds >= seconds:
+            known.stored = True
+        elif part not in self.unstored_by_part:
+            until = clock.read_monotonic() + seconds
+            self._block_by_part[part] = _Block(
+                seconds, until, 0, frozenset(), stored=True
+            )
+
     def _add_crash(self, crash: str, part: Part, started: float) -> None:
         now = clock.read_monotonic()
         suspicion = self._suspicion_by_part.get(part)
@@ -202,8 +234,10 @@
             seconds = min(MAX_BLOCK_SECONDS, known.seconds * 2)
             until = now + seconds
         self._block_by_part[part] = _Block(seconds, until, 0, crashes)
+        self.unstored_by_part[part] = deployment.PartBlock(*part, seconds)
         if len(self._block_by_part) > MAX_BLOCKS:
-            self._block_by_part.pop(next(iter(self._block_by_part)))
+            oldest = next(iter(self._block_by_part))
+            self._release(oldest, 'too many are blocked')
         _log_part(
             'part of prompts is blocked, it crashed back ends.',
             part,
@@ -220,16 +254,16 @@
                     crash for crash in suspicion.counted if crash not in crashes
                 ]
         for other, block in list(self._block_by_part.items()):
-            if other == part:
+            if other == part or block.crashes.isdisjoint(crashes):
                 continue
             block.crashes -= crashes
             if len(block.crashes) < MIN_CRASHES:
-                self._block_by_part.pop(other)
-                _log_part(
-                    'part of prompts is unblocked, another one caused the '
-                    'crashes.',
-                    other,
-                )
+                self._release(other, 'another part caused the crashes')
+
+    def _release(self, part: Part, reason: str) -> None:
+        self._block_by_part.pop(part)
+        self.unstored_by_part[part] = deployment.PartBlock(*part, 0)
+        _log_part('part of prompts is unblocked.', part, reason=reason)
 
 
 def _log_part(text: str, part: Part, **fields: object) -> None:
--- a/pimentoway/ops/partledger_test.py
+++ b/pimentoway/ops/partledger_test.py
@@ -6,11 +6,12 @@
 
 import pytest
 
-from pimentoway.core import clock
+from pimentoway.core import clock, deployment
 from pimentoway.ops import partledger
 from pimentoway.standin import paused_loop
 
 BAD, SHARED, RARE = (('pool', number) for number in (1, 2, 3))
+BAD_PARTS = (BAD,)
 
 
 #: The steps of the simulation below, in seconds.
@@ -34,10 +35,10 @@
     """No two of the requests are alike, but they share a part."""
     ledger = partledger.PartLedger()
     for number in range(partledger.MIN_CRASHES):
-        assert not ledger.compute_block_seconds([BAD])
+        assert not ledger.compute_block_seconds(BAD_PARTS)
         crash(ledger, number, BAD, ('pool', 100 + number))
     assert ledger.compute_block_seconds([SHARED, BAD]) > 0
-    assert ledger.is_blocked([BAD])
+    assert ledger.is_blocked(BAD_PARTS)
     assert not ledger.is_blocked([('other', BAD[1]), ('pool', 100)])
 
 
@@ -68,7 +69,7 @@
     ledger.record_answer([SHARED])
     crash(ledger, 1, BAD, SHARED)
     crash(ledger, 2, BAD, SHARED)
-    assert ledger.is_blocked([BAD])
+    assert ledger.is_blocked(BAD_PARTS)
     assert not ledger.is_blocked([SHARED])
 
 
@@ -77,7 +78,7 @@
     ledger = partledger.PartLedger()
     for number in range(partledger.CERTAIN_CRASHES):
         crash(ledger, number, BAD, SHARED)
-    assert ledger.is_blocked([BAD])
+    assert ledger.is_blocked(BAD_PARTS)
 
 
 def test_wrongly_blocked_part_is_released() -> None:
@@ -91,7 +92,7 @@
     assert ledger.is_blocked([RARE])
     for later in range(100, 100 + partledger.CERTAIN_CRASHES):
         crash(ledger, later, BAD)
-    assert ledger.is_blocked([BAD])
+    assert ledger.is_blocked(BAD_PARTS)
     assert not ledger.is_blocked([RARE])
 
 
@@ -108,20 +109,19 @@
 def test_one_request_is_let_through_after_a_block() -> None:
     """Its crash doubles the block, its answer ends it."""
     ledger = partledger.PartLedger()
-    parts = [BAD]
     for number in range(partledger.MIN_CRASHES):
         crash(ledger, number, BAD)
     for doubled in (1, 2, 4):
         paused_loop.advance(partledger.BLOCK_SECONDS * doubled + 1)
-        assert not ledger.compute_block_seconds(parts)
-        assert ledger.compute_block_seconds(parts) > 0
+        assert not ledger.compute_block_seconds(BAD_PARTS)
+        assert ledger.compute_block_seconds(BAD_PARTS) > 0
         crash(ledger, 50 + doubled, BAD)
-        left = ledger.compute_block_seconds(parts)
+        left = ledger.compute_block_seconds(BAD_PARTS)
         assert left > partledger.BLOCK_SECONDS * doubled * 2 - 1
     paused_loop.advance(partledger.BLOCK_SECONDS * 8 + 1)
-    assert not ledger.compute_block_seconds(parts)
-    ledger.record_answer(parts)
-    assert not ledger.is_blocked(parts)
+    assert not ledger.compute_block_seconds(BAD_PARTS)
+    ledger.record_answer(BAD_PARTS)
+    assert not ledger.is_blocked(BAD_PARTS)
 
 
 def test_let_through_request_without_outcome() -> None:
@@ -130,9 +130,9 @@
     for number in range(partledger.MIN_CRASHES):
         crash(ledger, number, BAD)
     paused_loop.advance(partledger.BLOCK_SECONDS + 1)
-    assert not ledger.compute_block_seconds([BAD])
+    assert not ledger.compute_block_seconds(BAD_PARTS)
     paused_loop.advance(partledger.TRIAL_SECONDS + 1)
-    assert not ledger.compute_block_seconds([BAD])
+    assert not ledger.compute_block_seconds(BAD_PARTS)
 
 
 def test_crash_of_an_earlier_run_does_not_double() -> None:
@@ -140,7 +140,7 @@
     ledger = partledger.PartLedger()
     for number in range(partledger.MIN_CRASHES + 4):
         crash(ledger, number, BAD)
-    left = ledger.compute_block_seconds([BAD])
+    left = ledger.compute_block_seconds(BAD_PARTS)
     assert 0 < left <= partledger.BLOCK_SECONDS
 
 
@@ -157,6 +157,44 @@
     assert len(ledger._block_by_part) == partledger.MAX_BLOCKS
 
 
+def test_block_of_another_broker_is_in_force() -> None:
+    """It is refused as long as there, and free again when it is removed."""
+    ledger = partledger.PartLedger()
+    ledger.adopt([deployment.PartBlock(*BAD, 600)])
+    assert 599 < ledger.compute_block_seconds(BAD_PARTS) <= 600
+    ledger.adopt([deployment.PartBlock(*BAD, 600)])
+    assert not ledger.unstored_by_part
+    ledger.adopt([deployment.PartBlock(*BAD, 1200)])
+    assert ledger.compute_block_seconds(BAD_PARTS) > 1199
+    ledger.adopt([])
+    assert not ledger.is_blocked(BAD_PARTS)
+
+
+def test_block_is_kept_until_it_is_stored() -> None:
+    """The store is down: the block stays in force and is to be written."""
+    ledger = partledger.PartLedger()
+    for number in range(partledger.MIN_CRASHES):
+        crash(ledger, number, BAD)
+    ledger.adopt([])
+    assert ledger.is_blocked(BAD_PARTS)
+    block = ledger.unstored_by_part[BAD]
+    assert block.seconds == partledger.BLOCK_SECONDS
+    ledger.adopt([block])
+    ledger.adopt([])
+    assert not ledger.is_blocked(BAD_PARTS)
+
+
+def test_answer_removes_a_stored_block() -> None:
+    """The store still has it, so it must not come back from there."""
+    ledger = partledger.PartLedger()
+    block = deployment.PartBlock(*SHARED, 600)
+    ledger.adopt([block])
+    ledger.record_answer([SHARED])
+    assert not ledger.unstored_by_part[SHARED].seconds
+    ledger.adopt([block])
+    assert not ledger.is_blocked([SHARED])
+
+
 @dataclasses.dataclass(frozen=True)
 class Run:
     """A run of a request in a simulation.
@@ -207,7 +245,7 @@
             if self._random.random() < STEP_SECONDS:
                 self._crash(self._random.choice(self._runs_by_engine))
             due = bad_pause and tick % round(bad_pause / STEP_SECONDS) == 0
-            if due and not self.ledger.is_blocked([BAD]):
+            if due and not self.ledger.is_blocked(BAD_PARTS):
                 self._run_bad_request()
             paused_loop.advance(STEP_SECONDS)
 
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -100,6 +100,17 @@
             self._records_by_kind[registry.Kind.peers],
         )
 
+    @property
+    def part_blocks_by_name(self) -> types.MappingProxyType:
+        """The blocked parts of prompts.
+
+        Returns:
+            A read-only view of the blocks, by the name of their record.
+        """
+        return types.MappingProxyType(
+            self._records_by_kind[registry.Kind.part_blocks],
+        )
+
     @property
     def evacuated_zones(self) -> collections.abc.Container[str]:
         """The failure domains that get no requests.
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -199,6 +199,20 @@
             name: Ignored.
         """
 
+    def put_part_block(self, block: deployment.PartBlock) -> None:
+        """Do nothing.
+
+        Args:
+            block: The block.
+        """
+
+    def remove_part_block(self, block: deployment.PartBlock) -> None:
+        """Do nothing.
+
+        Args:
+            block: The block.
+        """
+
     def report_rollout(self, rollout: deployment.Rollout, state: str) -> None:
         """Do nothing.
 
--- a/pimentoway/platform/crash_process_test.py
+++ b/pimentoway/platform/crash_process_test.py
@@ -1,5 +1,6 @@
 """Tests of prompt parts that crash back ends, over real sockets."""
 
+import dataclasses
 import itertools
 
 import gevent
@@ -7,7 +8,7 @@
 from gevent import server as gevent_server
 from gevent import socket as gevent_socket
 
-from pimentoway.core import clock, deployment, message
+from pimentoway.core import clock, deployment, error, message, registry
 from pimentoway.platform import edge_process_test, scripted_engine
 
 #: The part that crashes each engine that begins to answer a prompt with it.
@@ -228,3 +229,77 @@
     """
     crashes = sorted(time for engine in engines for time in engine.crashes)
     return sum(time > crashes[4] + DETECTION_SECONDS for time in crashes[5:])
+
+
+class RecordingRegistry(edge_process_test.FakeRegistry):
+    """A registry that fails at first and records the blocks of parts.
+
+    Attributes:
+        failures: How many further writes fail.
+        blocks: The blocks that were put.
+        removed: The names of those that were removed.
+    """
+
+    def __init__(self) -> None:
+        """Fail two writes."""
+        self.failures = 2
+        self.blocks: list[deployment.PartBlock] = []
+        self.removed: list[str] = []
+
+    def put_part_block(self, block: deployment.PartBlock) -> None:
+        """Record a block.
+
+        Args:
+            block: The block.
+
+        Raises:
+            PlatformUnavailableError: While ``failures`` is not 0.
+        """
+        if self.failures:
+            self.failures -= 1
+            raise error.PlatformUnavailableError('no store', 'put')
+        self.blocks.append(block)
+
+    def remove_part_block(self, block: deployment.PartBlock) -> None:
+        """Record the removal of a block.
+
+        Args:
+            block: The block.
+        """
+        self.removed.append(block.name)
+
+
+def store_block() -> deployment.PartBlock:
+    """Let a part crash back ends until its block is stored.
+
+    Returns:
+        The block.
+    """
+    engines = [CrashingEngine(f'e{number}') for number in range(5)]
+    harness = edge_process_test.NodeHarness(*engines)
+    harness.configure(2, ROUTES)
+    store = RecordingRegistry()
+    harness.node._platform = dataclasses.replace(
+        harness.node._platform, registry=store
+    )
+    Traffic(harness, '/stream/x', 0).send_bad(2)
+    gevent.sleep(2)
+    return store.blocks[0]
+
+
+def test_block_outlasts_the_broker_that_set_it() -> None:
+    """It is stored although writes fail at first, and in force elsewhere."""
+    block = store_block()
+    assert block.service == 's'
+    other_engine = CrashingEngine('e9')
+    other = edge_process_test.NodeHarness(other_engine)
+    other.configure(2, ROUTES)
+    other.change_record(registry.Kind.part_blocks, block.name, block)
+    extra = f'Connection: close\r\nPimentoway-Prefix-Hash: {BAD_PART}:2,x:1\r\n'
+    status, headers, _ = other.call('/stream/x', extra=extra)
+    assert status == 503
+    assert float(headers['Retry-After']) > 500
+    assert not other_engine.requests
+    other.change_record(registry.Kind.part_blocks, block.name, None)
+    other.call('/stream/x', extra=extra)
+    assert len(other_engine.crashes) == 1
--- a/pimentoway/platform/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -69,6 +69,20 @@
             name: The name of the node.
         """
 
+    def put_part_block(self, block: deployment.PartBlock) -> None:
+        """Do nothing.
+
+        Args:
+            block: The block.
+        """
+
+    def remove_part_block(self, block: deployment.PartBlock) -> None:
+        """Do nothing.
+
+        Args:
+            block: The block.
+        """
+
     def report_rollout(self, rollout: deployment.Rollout, state: str) -> None:
         """Do nothing.
 
@@ -188,7 +202,7 @@
             {'studio': customer},
             deployment.CallerLimits(idle_seconds=2, header_seconds=0.5),
         )
-        self._change(registry.Kind.configuration, 'main', configuration)
+        self.change_record(registry.Kind.configuration, 'main', configuration)
 
     def add(
         self, engine: scripted_engine.ScriptedEngine, **changes: object
@@ -203,7 +217,7 @@
             engine.name, 's', engine.address, 'z', 'v1', 6, False, 0, 1
         )
         record = dataclasses.replace(record, **changes)
-        self._change(registry.Kind.engines, engine.name, record)
+        self.change_record(registry.Kind.engines, engine.name, record)
 
     def connect(self) -> gevent_socket.socket:
         """Open a connection as a caller.
@@ -227,9 +241,16 @@
         sock.sendall(make_request(path, **options))
         return parse_answer(read_all(sock))
 
-    def _change(
-        self, kind: registry.Kind, name: str, record: registry.Record
+    def change_record(
+        self, kind: registry.Kind, name: str, record: registry.Record | None
     ) -> None:
+        """Write or remove a record in the node's view.
+
+        Args:
+            kind: The kind of the record.
+            name: The name of the record.
+            record: The record; None removes it.
+        """
         self._revision += 1
         change = registry.Change(name, record)
         self.node.view.apply_changes(
--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -10,6 +10,8 @@
 #: Milliseconds in a second.
 MILLISECONDS = 1000
 
+_HEXADECIMAL = 16
+
 #: The name of the stored object that holds the configuration in force.
 CONFIGURATION_NAME = 'main'
 
@@ -167,6 +169,13 @@
     cores: float
 
 
+class _PartBlock(_Pascal):
+    service: NonEmptyText
+    # JSON has no integers of 64 bits, so the digest is in hexadecimal.
+    part: NonEmptyText
+    seconds: typing.Annotated[float, msgspec.Meta(gt=0)]
+
+
 def decode(kind: registry.Kind, stored: StoredObject) -> registry.Record:
     """Decode an object of the store as a record of the product.
 
@@ -299,6 +308,28 @@
     )
 
 
+def _decode_part_block(stored: StoredObject) -> deployment.PartBlock:
+    raw = msgspec.json.decode(stored.spec, type=_PartBlock)
+    try:
+        part = int(raw.part, _HEXADECIMAL)
+    except ValueError as fault:
+        raise msgspec.ValidationError(f'Part is {raw.part!r}') from fault
+    return deployment.PartBlock(raw.service, part, raw.seconds)
+
+
+def encode_part_block(block: deployment.PartBlock) -> dict[str, object]:
+    """Encode the block of a part of prompts.
+
+    Args:
+        block: The block.
+
+    Returns:
+        The ``Spec`` of its object in the store.
+    """
+    raw = _PartBlock(block.service, f'{block.part:x}', block.seconds)
+    return msgspec.to_builtins(raw)
+
+
 def encode_peer(peer: deployment.Peer) -> dict[str, object]:
     """Encode the registry entry of a node.
 
@@ -338,5 +369,6 @@
         registry.Kind.rollouts: _decode_rollout,
         registry.Kind.evacuations: _decode_evacuation,
         registry.Kind.peers: _decode_peer,
+        registry.Kind.part_blocks: _decode_part_block,
     },
 )
--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -39,6 +39,7 @@
         registry.Kind.rollouts: 'rollouts',
         registry.Kind.evacuations: 'evacuations',
         registry.Kind.peers: 'pimentoway-nodes',
+        registry.Kind.part_blocks: 'pimentoway-part-blocks',
     },
 )
 
@@ -151,16 +152,8 @@
         Args:
             peer: The node.
         """
-        kind = registry.Kind.peers
-        body = {
-            'Metadata': {'Name': peer.name},
-            'Spec': record.encode_peer(peer),
-        }
-        try:
-            self._call('POST', _make_path(kind), body)
-        except error.PlatformConflictError:
-            # The entry is left over from an earlier run of this node.
-            self._call('PUT', _make_path(kind, peer.name), body)
+        # The entry of an earlier run of this node may be left over.
+        self._put(registry.Kind.peers, peer.name, record.encode_peer(peer))
 
     def remove_peer(self, name: str) -> None:
         """Remove the entry of a node.
@@ -170,6 +163,26 @@
         """
         self._call('DELETE', _make_path(registry.Kind.peers, name))
 
+    def put_part_block(self, block: deployment.PartBlock) -> None:
+        """Create or replace the block of a part of prompts.
+
+        Args:
+            block: The block.
+        """
+        self._put(
+            registry.Kind.part_blocks,
+            block.name,
+            record.encode_part_block(block),
+        )
+
+    def remove_part_block(self, block: deployment.PartBlock) -> None:
+        """Remove the block of a part of prompts.
+
+        Args:
+            block: The block.
+        """
+        self._call('DELETE', _make_path(registry.Kind.part_blocks, block.name))
+
     def report_rollout(self, rollout: deployment.Rollout, state: str) -> None:
         """Write the status of a rollout, unless its order has changed.
 
@@ -187,6 +200,15 @@
         }
         self._call('PUT', f'{path}/status', body)
 
+    def _put(
+        self, kind: registry.Kind, name: str, spec: dict[str, object]
+    ) -> None:
+        body = {'Metadata': {'Name': name}, 'Spec': spec}
+        try:
+            self._call('POST', _make_path(kind), body)
+        except error.PlatformConflictError:
+            self._call('PUT', _make_path(kind, name), body)
+
     def _read_page(self, kind: registry.Kind, after: str) -> _Page:
         # Despite its name, AfterRev takes the name of the last object seen.
         query = f'?{parse.urlencode({"AfterRev": after})}' if after else ''
--- a/pimentoway/platform/store_test.py
+++ b/pimentoway/platform/store_test.py
@@ -180,3 +180,19 @@
     body = json.loads(pool.calls[0].body)
     assert body['Metadata']['Revision'] == 77
     assert body['Status'] == {'State': 'active', 'Target': 'v2'}
+
+
+def test_block_is_replaced_and_read_back() -> None:
+    """A digest of 64 bits comes back exactly, an unreadable one is left out."""
+    block = deployment.PartBlock('pool', 0xFEDCBA9876543210, 600)
+    platform_registry, pool = make_registry((409, {}), (200, {}), (200, {}))
+    platform_registry.put_part_block(block)
+    platform_registry.remove_part_block(block)
+    assert [call.method for call in pool.calls] == ['POST', 'PUT', 'DELETE']
+    stored = json.loads(pool.calls[1].body)
+    odd = {'Metadata': {'Name': 'odd'}, 'Spec': {**stored['Spec'], 'Part': 'z'}}
+    listing_registry, _ = make_registry(
+        (200, {'Items': [stored, odd], 'StoreRevision': 5}),
+    )
+    listing = listing_registry.list_records(registry.Kind.part_blocks)
+    assert listing.records_by_name == {block.name: block}
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -32,6 +32,11 @@
 #: Seconds between two sweeps of idle connections and lost nodes.
 SWEEP_SECONDS = 1.0
 
+#: Seconds between two checks for blocks that the store does not have yet, and
+#: the pause after a write that failed.
+PART_BLOCK_SECONDS = 0.1
+PART_BLOCK_RETRY_SECONDS = 0.5
+
 #: Seconds between two checks of the rollouts, and the pause after a report
 #: that failed.
 ROLLOUT_SECONDS = 0.15
@@ -169,6 +174,7 @@
             self._run_ticks,
             self._run_sweeps,
             self._run_rollouts,
+            self._run_part_blocks,
         ):
             task.keep_running(function)
         self._caller_server = _serve_stream(
@@ -423,6 +429,33 @@
             state=state.value,
         )
 
+    def _run_part_blocks(self) -> None:
+        unstored = self.broker.parts.unstored_by_part
+        while True:
+            gevent.sleep(PART_BLOCK_SECONDS)
+            for part, block in list(unstored.items()):
+                if self._store_part_block(block) and unstored[part] is block:
+                    unstored.pop(part)
+
+    def _store_part_block(self, block: deployment.PartBlock) -> bool:
+        store = self._platform.registry
+        write = (
+            store.put_part_block if block.seconds else store.remove_part_block
+        )
+        try:
+            write(block)
+        except error.PlatformRefusedError:
+            _LOG.write('the block was removed before.', part=block.name)
+        except error.PlatformError as fault:
+            _LOG.write(
+                'storing the block of a part of prompts failed, trying again.',
+                part=block.name,
+                reason=str(fault),
+            )
+            gevent.sleep(PART_BLOCK_RETRY_SECONDS)
+            return False
+        return True
+
 
 def _serve_stream(
     address: str, handle: collections.abc.Callable
