Give the soak's prompts shared parts

The soak did not exercise the check after a cut, nor show a sound part that is blocked for no reason.

--- a/pimentoway/platform/soak_fixture.py
+++ b/pimentoway/platform/soak_fixture.py
@@ -1,6 +1,7 @@
 """Settings, configuration and requests for soaks on the platform."""
 
 import dataclasses
+import zlib
 
 from pimentoway.core import deployment, registry
 from pimentoway.platform import memory_store
@@ -25,6 +26,10 @@
 #: The latency target of a route, in milliseconds.
 LATENCY_TARGET_MILLISECONDS = 500
 
+#: The parts that the prompts of requests share; each is in a few requests a
+#: second.
+SHARED_PARTS = 40
+
 #: The requests that an engine runs at once.
 SLOTS = 6
 
@@ -125,9 +130,11 @@
     """
     body = b'' if kind == 'safe' else request_id.encode()
     method = 'GET' if kind == 'safe' else 'POST'
+    part = zlib.crc32(request_id.encode()) % SHARED_PARTS
     head = (
         f'{method} {path or f"/{kind}/x"} HTTP/1.1\r\nHost: {HOST}\r\n'
         f'Pimentoway-Attempt-Id: {request_id}\r\nX-Api-Key: {KEY}\r\n'
+        f'Pimentoway-Prefix-Hash: {part:x}:20,{request_id}:5\r\n'
         f'Pimentoway-Deadline-Ms: {DEADLINE_MILLISECONDS}\r\n'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
