--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -152,7 +152,7 @@
     guard_text.Guard(
         'a part that crashes back ends is refused',
         'ops/admit.py',
-        'self._parts.compute_block_seconds(_list_parts(request)),',
+        'self.parts.compute_block_seconds(_list_parts(request)),',
         '0,',
         _BROKER,
     ),
@@ -181,8 +181,8 @@
         'an answer clears the parts of its prompt',
         'ops/partledger.py',
         '            self._suspicion_by_part.pop(part, None)\n'
-        '            if self._block',
-        '            if self._block',
+        '            if part in',
+        '            if part in',
         _PARTS,
     ),
     guard_text.Guard(
