Keep in mind that a block is stored when a late run of its part crashes

Found by reading: a run that began before a block of another node crashed its back end afterwards, and the new entry no longer knew that the store had the block. When the other node removed it, the block stayed in force here. test_late_crash_does_not_keep_a_removed_block failed before.

--- a/pimentoway/ops/partledger.py
+++ b/pimentoway/ops/partledger.py
@@ -100,7 +100,10 @@
         self._block_by_part: dict[Part, _Block] = {}
 
     def record_crash(
-        self, crash: str, parts: collections.abc.Iterable[Part], started: float
+        self,
+        crash: str,
+        parts: collections.abc.Collection[Part],
+        started: float,
     ) -> None:
         """Record that a back end crashed while it ran a request.
 
@@ -233,7 +236,8 @@
         elif known:
             seconds = min(MAX_BLOCK_SECONDS, known.seconds * 2)
             until = now + seconds
-        self._block_by_part[part] = _Block(seconds, until, 0, crashes)
+        stored = known is not None and known.stored
+        self._block_by_part[part] = _Block(seconds, until, 0, crashes, stored)
         self.unstored_by_part[part] = deployment.PartBlock(*part, seconds)
         if len(self._block_by_part) > MAX_BLOCKS:
             oldest = next(iter(self._block_by_part))
--- a/pimentoway/ops/partledger_test.py
+++ b/pimentoway/ops/partledger_test.py
@@ -184,6 +184,16 @@
     assert not ledger.is_blocked(BAD_PARTS)
 
 
+def test_late_crash_does_not_keep_a_removed_block() -> None:
+    """A run from before the block crashes, then another node removes it."""
+    ledger = partledger.PartLedger()
+    ledger.adopt([deployment.PartBlock(*RARE, 600)])
+    crash(ledger, 1, RARE)
+    assert ledger.is_blocked([RARE])
+    ledger.adopt([])
+    assert not ledger.is_blocked([RARE])
+
+
 def test_answer_removes_a_stored_block() -> None:
     """The store still has it, so it must not come back from there."""
     ledger = partledger.PartLedger()
