Queue the requests of each tier of a route apart

Cause: the queue of a route had one tier, that of its last request (RouteStats.rank), so that all requests of the route were ordered by it. Change: a queue for each route and tier, with the demand and the running requests of the tier (ops/tierdemand). How long requests run is still learnt by route. The tiers of a route share its guaranteed slots by their demand, so that many tiers don't raise what a route is guaranteed.

--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -321,7 +321,7 @@
         run = state.end(key, report)
         request = run.request
         queue = self._queue_by_service[request.service]
-        queue.stats_by_route[request.route].running -= 1
+        queue.count_end(request)
         if report.outcome in slot.UNSENT_OUTCOMES:
             self._admission.refund(request)
         elif report.outcome in slot.BROKEN_OUTCOMES:
@@ -415,9 +415,7 @@
         # Runs of vanished back ends and nodes are dropped without a report,
         # so the running counts can't be kept by increments alone.
         for service, queue in self._queue_by_service.items():
-            counts = self.engines.count_running(service)
-            for route, stats in queue.stats_by_route.items():
-                stats.running = counts[route]
+            queue.set_running(self.engines.count_running(service))
 
     def _on_view_change(self, kind: registry.Kind) -> None:
         if kind is registry.Kind.part_blocks:
--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -115,12 +115,8 @@
         assert counts.compute_answered_ratio_between(0.7, 0.9) >= least
 
 
-@pytest.mark.xfail(strict=True)
 def test_tier_of_a_customer_precedes_its_route() -> None:
-    """Customers of two tiers on one route: the higher tier goes first.
-
-    The route's queue is ordered without regard to the tier of each request.
-    """
+    """Customers of two tiers on one route: the higher tier goes first."""
     simulation = load.Simulation()
     for customer, rank, factor in (('first', 0, 1), ('last', 8, 6)):
         kind = dataclasses.replace(NOTE, rank=rank)
--- a/pimentoway/ops/enginetable.py
+++ b/pimentoway/ops/enginetable.py
@@ -99,17 +99,19 @@
                 free_engines.append(state)
         return Capacity(slots, free_slots, free_engines)
 
-    def count_running(self, service: str) -> collections.Counter[str]:
+    def count_running(
+        self, service: str
+    ) -> collections.Counter[tuple[str, int]]:
         """Count the running requests of a service.
 
         Args:
             service: The name of the service.
 
         Returns:
-            The running requests by route.
+            The running requests by route and tier.
         """
         return collections.Counter(
-            run.request.route
+            run.request.route_tier
             for state in self.state_by_name.values()
             for run in state.run_by_key.values()
             if run.request.service == service
--- a/pimentoway/ops/routequeue.py
+++ b/pimentoway/ops/routequeue.py
@@ -1,12 +1,12 @@
-"""The waiting requests of one route, kept in order as they arrive and leave.
+"""The waiting requests of one route and tier, in order as they come and go.
 
 Requests of similar value form a band, ordered by latency target. Finding the
 head of the queue, or the work ahead of a request, thus takes the same time
 however many requests wait.
 
 Bands of higher value go first, but each band is guaranteed a fraction of the
-service that its route gets. Without that, only the highest bands would be
-served whenever a route can't be served in full, and long answers never.
+service that its queue gets. Without that, only the highest bands would be
+served whenever a queue can't be served in full, and long answers never.
 """
 
 import collections
@@ -16,7 +16,7 @@
 import math
 
 from pimentoway.core import clock
-from pimentoway.ops import enginestate, routestats, slot
+from pimentoway.ops import enginestate, routestats, slot, tierdemand
 
 #: The value of an answer after its latency target, relative to one within it;
 #: known deployments have 0.1 and 0.5.
@@ -160,20 +160,23 @@
 
 
 class RouteQueue:
-    """The waiting requests of one route.
+    """The waiting requests of one route and tier.
 
     Attributes:
         stats: The statistics of the route.
+        demand: The requests of the route and tier, by count.
         count: The number of waiting requests.
     """
 
-    def __init__(self, stats: routestats.RouteStats) -> None:
+    def __init__(self, stats: routestats.RouteStats, rank: int) -> None:
         """Start empty.
 
         Args:
             stats: The statistics of the route, which others keep up to date.
+            rank: The tier; 0 is the highest.
         """
         self.stats = stats
+        self.demand = tierdemand.TierDemand(stats, rank)
         self.count = 0
         self._timely = tuple(ValueBand(ratio) for ratio in VALUE_RATIOS)
         self._late = tuple(
@@ -198,6 +201,7 @@
         Args:
             request: The slot request.
         """
+        self.demand.running += 1
         self._served.granted += 1
         self._served_by_band[self._find_index(request)].granted += 1
 
@@ -207,6 +211,7 @@
         Args:
             factor: What remains of each count.
         """
+        self.demand.decay(factor)
         self._served.decay(factor)
         for served in self._served_by_band:
             served.decay(factor)
@@ -242,7 +247,7 @@
         if not self.count:
             return
         self._move_late()
-        typical = self.stats.compute_typical_value()
+        typical = self.demand.compute_typical_value()
         for bands in (self._timely, self._late):
             for index, band in enumerate(bands):
                 if band.count:
@@ -260,7 +265,7 @@
         late = self.stats.first_seconds > request.target_left
         bands = self._late if late else self._timely
         ratio = self._find_ratio(bands, self._find_index(request))
-        return self.stats.compute_typical_value() * ratio
+        return self.demand.compute_typical_value() * ratio
 
     def find_most_valuable(self) -> tuple[float, QueuedRequest]:
         """Find the request that gets the next slot of the route.
--- a/pimentoway/ops/routestats.py
+++ b/pimentoway/ops/routestats.py
@@ -68,7 +68,6 @@
     """Statistics on the requests of one route.
 
     Attributes:
-        rank: The tier of the last request; 0 is the highest.
         run_seconds: The average run time of complete answers.
         first_seconds: The average time from dispatch to the first event.
         token_seconds: The average time for each token of an answer, where
@@ -78,22 +77,19 @@
         mean_work_tokens: The average estimated work of a request, in prompt
             tokens; 0 while unknown.
         recent_requests: The decayed count of requests that could meet their
-            latency target on arrival.
-        running: The number of requests that run.
+            latency target on arrival, over all tiers.
         event_seconds: The average time for each event of a stream; 0 while
             unknown.
         mean_output_tokens: The average estimated length of an answer, over
             all requests, served or not; 0 while unknown.
     """
 
-    rank: int = 0
     run_seconds: float = DEFAULT_RUN_SECONDS
     first_seconds: float = DEFAULT_FIRST_SECONDS
     token_seconds: float = 0
     mean_run_seconds: float = 0
     mean_work_tokens: float = 0
     recent_requests: float = 0
-    running: int = 0
     event_seconds: float = 0
     mean_output_tokens: float = 0
     _mean_tokens: float = 0
@@ -190,13 +186,16 @@
         )
         return min(max(ratio, 1 / MAX_VALUE_RATIO), MAX_VALUE_RATIO)
 
-    def compute_typical_value(self) -> float:
+    def compute_typical_value(self, rank: int) -> float:
         """Compute the value of a second of a slot for a typical request.
 
+        Args:
+            rank: The tier of the request; 0 is the highest.
+
         Returns:
             The value, comparable between routes.
         """
-        return TIER_VALUE_RATIO**-self.rank / self._find_mean_run()
+        return TIER_VALUE_RATIO**-rank / self._find_mean_run()
 
     def compute_duration_ratio(self, report: slot.Report) -> float:
         """Compare the time of a run with the time expected on this route.
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -119,6 +119,15 @@
     avoided: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
 
+    @property
+    def route_tier(self) -> tuple[str, int]:
+        """Name the queue of the request.
+
+        Returns:
+            Its route and its tier.
+        """
+        return self.route, self.rank
+
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Grants a slot.
--- a/pimentoway/ops/waitqueue.py
+++ b/pimentoway/ops/waitqueue.py
@@ -3,14 +3,21 @@
 Runs can't be preempted, and each holds its slot until it ends. So requests are
 ordered by the value of their answer for each second of a slot. Requests of
 higher value go first. Requests of lower value get only slots that the others
-are unlikely to need, but each route is guaranteed a fraction of the slots that
-it asks for, and each size of request a fraction of what its route gets.
+are unlikely to need, but the requests of each route and tier are guaranteed a
+fraction of the slots that they ask for, and each size of request a fraction of
+what these get.
 """
 
 import collections
 
 from pimentoway.core import clock
-from pimentoway.ops import enginestate, routequeue, routestats, slot
+from pimentoway.ops import (
+    enginestate,
+    routequeue,
+    routestats,
+    slot,
+    tierdemand,
+)
 
 #: The fraction of all slots that a request must leave free for each tier by
 #: which it is below the highest one, and the most tiers that count. The
@@ -43,7 +50,8 @@
         self.stats_by_route: dict[str, routestats.RouteStats] = (
             collections.defaultdict(routestats.RouteStats)
         )
-        self._queue_by_route: dict[str, routequeue.RouteQueue] = {}
+        # By route and tier.
+        self._queue_by_tier: dict[tuple[str, int], routequeue.RouteQueue] = {}
         self._decayed_at = clock.read_monotonic()
 
     def count_request(self, request: slot.SlotRequest) -> None:
@@ -53,15 +61,15 @@
             request: The slot request.
         """
         stats = self.stats_by_route[request.route]
-        stats.rank = request.rank
         stats.record_work(request)
         stats.record_length(request)
         # A request that can't meet its target any more, as it returns after a
         # refusal, doesn't count: it would raise the guaranteed slots of its
         # route, and timely requests need these.
+        queue = self._find_queue(request)
         if request.target_left > stats.first_seconds:
-            stats.recent_requests += 1
-        self._find_queue(request.route).count_arrival(request)
+            queue.demand.count_request()
+        queue.count_arrival(request)
 
     def count_grant(self, request: slot.SlotRequest) -> None:
         """Count a granted request.
@@ -69,8 +77,26 @@
         Args:
             request: The slot request.
         """
-        self.stats_by_route[request.route].running += 1
-        self._find_queue(request.route).count_grant(request)
+        self._find_queue(request).count_grant(request)
+
+    def count_end(self, request: slot.SlotRequest) -> None:
+        """Count the end of a granted request.
+
+        Args:
+            request: The slot request.
+        """
+        self._find_queue(request).demand.running -= 1
+
+    def set_running(
+        self, count_by_tier: collections.Counter[tuple[str, int]]
+    ) -> None:
+        """Replace the counts of running requests.
+
+        Args:
+            count_by_tier: The counts, by route and tier.
+        """
+        for key, queue in self._queue_by_tier.items():
+            queue.demand.running = count_by_tier[key]
 
     def add(self, queued: routequeue.QueuedRequest) -> None:
         """Add a request.
@@ -79,7 +105,7 @@
             queued: The request.
         """
         self.waiting_by_key[queued.key] = queued
-        self._find_queue(queued.request.route).add(queued)
+        self._find_queue(queued.request).add(queued)
 
     def remove(
         self, key: enginestate.RunKey
@@ -94,7 +120,7 @@
         """
         queued = self.waiting_by_key.pop(key, None)
         if queued:
-            self._queue_by_route[queued.request.route].remove(queued)
+            self._queue_by_tier[queued.request.route_tier].remove(queued)
         return queued
 
     def decay(self) -> None:
@@ -102,11 +128,16 @@
         now = clock.read_monotonic()
         factor = routestats.DECAY_PER_SECOND ** (now - self._decayed_at)
         self._decayed_at = now
-        for route, stats in list(self.stats_by_route.items()):
-            stats.recent_requests *= factor
-            self._find_queue(route).decay(factor)
-            if stats.recent_requests < MIN_DECAYED_COUNT and not stats.running:
-                self._forget(route)
+        for key, queue in list(self._queue_by_tier.items()):
+            queue.decay(factor)
+            demand = queue.demand
+            if demand.recent_requests < MIN_DECAYED_COUNT and not (
+                demand.running or queue.count
+            ):
+                self._queue_by_tier.pop(key)
+        served = {route for route, _ in self._queue_by_tier}
+        for route in set(self.stats_by_route).difference(served):
+            self.stats_by_route.pop(route)
 
     def find_next(
         self, slots: int, free: int
@@ -123,7 +154,7 @@
         """
         candidates = [
             candidate
-            for queue in self._queue_by_route.values()
+            for queue in self._queue_by_tier.values()
             if queue.count
             for candidate in self._list_candidates(queue, slots, free)
         ]
@@ -144,9 +175,9 @@
         """
         unservable = []
         work: float = 0
-        for stats, slot_value, band in self._list_bands(slots):
-            serving = self._estimate_serving_slots(stats, slot_value, slots)
-            first_event = clock.read_monotonic() + stats.first_seconds
+        for demand, slot_value, band in self._list_bands(slots):
+            serving = self._estimate_serving_slots(demand, slot_value, slots)
+            first_event = clock.read_monotonic() + demand.stats.first_seconds
             for queued in band.list_ordered():
                 if first_event + work / serving > queued.expiry:
                     unservable.append((queued, work / serving))
@@ -166,15 +197,17 @@
         """
         if not self.waiting_by_key:
             return 0
-        own = self._find_queue(request.route)
+        own = self._find_queue(request)
         slot_value = own.compute_value(request)
         work = sum(
             band.work
-            for queue in self._queue_by_route.values()
+            for queue in self._queue_by_tier.values()
             for other, band in queue.list_bands()
             if other >= slot_value
         )
-        return work / self._estimate_serving_slots(own.stats, slot_value, slots)
+        return work / self._estimate_serving_slots(
+            own.demand, slot_value, slots
+        )
 
     def describe_order(self, request: slot.SlotRequest) -> dict[str, object]:
         """Describe what decides the place of a request, for the log.
@@ -186,6 +219,7 @@
             The fields of a log line, by their names.
         """
         stats = self.stats_by_route[request.route]
+        demand = self._find_queue(request).demand
         return {
             'route': request.route,
             'rank': request.rank,
@@ -194,16 +228,16 @@
             'typical_run': round(stats.mean_run_seconds, 3),
             'served_run': round(stats.run_seconds, 3),
             'value_ratio': round(stats.compute_value_ratio(request), 3),
-            'route_running': stats.running,
-            'route_demand': round(stats.estimate_slot_demand(), 2),
+            'route_running': demand.running,
+            'route_demand': round(demand.estimate_slots(), 2),
         }
 
     def _list_candidates(
         self, queue: routequeue.RouteQueue, slots: int, free: int
     ) -> list[tuple[bool, float, float, routequeue.QueuedRequest]]:
-        below_guarantee = self._is_below_guarantee(queue.stats, slots)
+        below_guarantee = _is_below_guarantee(queue.demand, slots)
         if not below_guarantee and not self._has_unreserved_slot(
-            queue.stats, slots, free
+            queue.demand, slots, free
         ):
             return []
         slot_value, queued = queue.find_most_valuable()
@@ -211,55 +245,49 @@
 
     def _list_bands(
         self, slots: int
-    ) -> list[tuple[routestats.RouteStats, float, routequeue.ValueBand]]:
+    ) -> list[tuple[tierdemand.TierDemand, float, routequeue.ValueBand]]:
         # The bands in the order in which they get slots.
         found = [
             (
-                self._is_below_guarantee(queue.stats, slots),
-                queue.stats,
+                _is_below_guarantee(queue.demand, slots),
+                queue.demand,
                 slot_value,
                 band,
             )
-            for queue in self._queue_by_route.values()
+            for queue in self._queue_by_tier.values()
             for slot_value, band in queue.list_bands()
         ]
         found.sort(key=lambda ranked: (not ranked[0], -ranked[2]))
         return [ranked[1:] for ranked in found]
 
     def _estimate_serving_slots(
-        self, stats: routestats.RouteStats, slot_value: float, slots: int
+        self, demand: tierdemand.TierDemand, slot_value: float, slots: int
     ) -> float:
         # The slots left for requests of this value, as more valuable requests
         # keep arriving and go first.
         taken = sum(
-            other.estimate_slot_demand()
-            for other in self.stats_by_route.values()
-            if other.compute_typical_value() > slot_value
+            queue.demand.estimate_slots()
+            for queue in self._queue_by_tier.values()
+            if queue.demand.compute_typical_value() > slot_value
         )
-        guaranteed = stats.compute_guaranteed_slots(slots)
+        guaranteed = demand.compute_guaranteed_slots(slots)
         return max(slots - taken, guaranteed, MIN_SERVING_SLOTS)
 
-    def _is_below_guarantee(
-        self, stats: routestats.RouteStats, slots: int
-    ) -> bool:
-        return stats.running < stats.compute_guaranteed_slots(slots)
-
     def _has_unreserved_slot(
-        self, stats: routestats.RouteStats, slots: int, free: int
+        self, demand: tierdemand.TierDemand, slots: int, free: int
     ) -> bool:
-        highest = min(other.rank for other in self.stats_by_route.values())
-        tiers = min(stats.rank - highest, MAX_RESERVING_TIERS)
+        highest = min(rank for _, rank in self._queue_by_tier)
+        tiers = min(demand.rank - highest, MAX_RESERVING_TIERS)
         return free > round(tiers * RESERVED_FRACTION * slots)
 
-    def _find_queue(self, route: str) -> routequeue.RouteQueue:
-        found = self._queue_by_route.get(route)
+    def _find_queue(self, request: slot.SlotRequest) -> routequeue.RouteQueue:
+        found = self._queue_by_tier.get(request.route_tier)
         if found is None:
-            found = routequeue.RouteQueue(self.stats_by_route[route])
-            self._queue_by_route[route] = found
+            stats = self.stats_by_route[request.route]
+            found = routequeue.RouteQueue(stats, request.rank)
+            self._queue_by_tier[request.route_tier] = found
         return found
 
-    def _forget(self, route: str) -> None:
-        queue = self._queue_by_route.get(route)
-        if queue is None or not queue.count:
-            self._queue_by_route.pop(route, None)
-            self.stats_by_route.pop(route)
+
+def _is_below_guarantee(demand: tierdemand.TierDemand, slots: int) -> bool:
+    return demand.running < demand.compute_guaranteed_slots(slots)
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -319,8 +319,15 @@
     guard_text.Guard(
         'guaranteed part of the lowest tier',
         'ops/waitqueue.py',
-        '        return stats.running < stats.compute_guaranteed_slots(slots)',
-        '        return False',
+        '    return demand.running < demand.compute_guaranteed_slots(slots)',
+        '    return False',
+        _BROKER,
+    ),
+    guard_text.Guard(
+        'each tier of a route has a queue',
+        'ops/slot.py',
+        '        return self.route, self.rank\n',
+        '        return self.route, 0\n',
         _BROKER,
     ),
     guard_text.Guard(
