Link only to a broker that sends

The links to it end after 0.45 s of silence, but its operating system accepts connections, so each node linked to it again at once, six times in a row: until it woke, nodes neither asked another broker nor watched the store. Change: opening a link includes the first message of the other node, which sends a heartbeat as it accepts.

--- a/pimentoway/nodes/link.py
+++ b/pimentoway/nodes/link.py
@@ -28,9 +28,13 @@
 #: four heartbeats, so that one lost packet doesn't end the link.
 SILENCE_SECONDS = 0.45
 
-#: Seconds to connect to another node.
+#: Seconds to connect to another node and to receive its first message.
 CONNECT_SECONDS = 0.3
 
+#: The least wait for the first message after a slow connect, in seconds: a
+#: timeout of 0 would not wait at all.
+MIN_WAIT_SECONDS = 0.05
+
 #: Seconds between two queries for records of the same kind.
 QUERY_SECONDS = 0.3
 
@@ -58,7 +62,11 @@
     """
 
     def __init__(
-        self, sock: gevent_socket.socket, peer: str, node_view: view.View
+        self,
+        sock: gevent_socket.socket,
+        peer: str,
+        node_view: view.View,
+        received: bytes = b'',
     ) -> None:
         """Wrap a connected socket.
 
@@ -66,6 +74,7 @@
             sock: The socket, which the link closes.
             peer: The name of the other node, or its address.
             node_view: The registry records of this node.
+            received: What was read from the socket before.
         """
         self.peer = peer
         self.requester = ''
@@ -73,6 +82,7 @@
         self.open = True
         self._sock = sock
         self._view = node_view
+        self._received = received
         self._unsent = bytearray()
         self._wake = gevent_event.Event()
         self._queried_by_kind: dict[str, float] = {}
@@ -114,15 +124,20 @@
     def _read(self, on_message: MessageHandler) -> None:
         reader = frame.FrameReader()
         self._sock.settimeout(SILENCE_SECONDS)
+        block = self._received or self._read_block()
         while self.open:
-            block = self._sock.recv(READ_BYTES)
-            if not block:
-                raise error.NodeError(
-                    'the peer closed the connection', 'read', self.peer
-                )
             for message in reader.feed(block):
                 if not self._handle_registry(message):
                     on_message(self, message)
+            block = self._read_block()
+
+    def _read_block(self) -> bytes:
+        block = self._sock.recv(READ_BYTES)
+        if not block:
+            raise error.NodeError(
+                'the peer closed the connection', 'read', self.peer
+            )
+        return block
 
     def _write(self) -> None:
         while self.open:
@@ -187,7 +202,11 @@
 
 
 def open_link(address: str, peer: str, node_view: view.View) -> Link:
-    """Connect to another node.
+    """Connect to another node and wait for its first message.
+
+    Connections to a node whose process is stopped still succeed, as its
+    operating system accepts them. Only a message shows that the node lives; it
+    sends a heartbeat as soon as it accepts the link.
 
     Args:
         address: Its IP number and port.
@@ -196,9 +215,27 @@
 
     Returns:
         The link, which sends nothing before ``run``.
+
+    Raises:
+        ConnectError: If connecting fails, or no message comes within
+            ``CONNECT_SECONDS``.
     """
+    deadline = clock.read_monotonic() + CONNECT_SECONDS
     sock = connection.connect(address, CONNECT_SECONDS)
-    return Link(sock, peer, node_view)
+    sock.settimeout(max(MIN_WAIT_SECONDS, deadline - clock.read_monotonic()))
+    try:
+        received = sock.recv(READ_BYTES)
+    except OSError as fault:
+        sock.close()
+        raise error.ConnectError(
+            f'the node sent no message: {fault}', 'connect', address
+        ) from fault
+    if not received:
+        sock.close()
+        raise error.ConnectError(
+            'the node closed the connection', 'connect', address
+        )
+    return Link(sock, peer, node_view, received)
 
 
 class LinkServer:
--- a/pimentoway/nodes/link_test.py
+++ b/pimentoway/nodes/link_test.py
@@ -4,7 +4,7 @@
 import pytest
 from gevent import queue as gevent_queue
 
-from pimentoway.core import connection, deployment, registry
+from pimentoway.core import connection, deployment, error, registry
 from pimentoway.nodes import frame, link
 from pimentoway.ops import slot, view
 from pimentoway.standin import paused_loop
@@ -150,6 +150,43 @@
     assert not opened.link.open
 
 
+@pytest.fixture(name='sock')
+def connect_fake_socket(monkeypatch: pytest.MonkeyPatch) -> FakeSocket:
+    """Let every connection succeed.
+
+    Args:
+        monkeypatch: Replaces the connecting of sockets.
+
+    Returns:
+        The socket of all connections.
+    """
+    sock = FakeSocket()
+    monkeypatch.setattr(connection, 'connect', lambda address, seconds: sock)
+    return sock
+
+
+# A stopped process: its operating system still accepts connections, and nodes
+# returned to it as their broker again and again.
+def test_link_to_a_stopped_node_is_not_opened(sock: FakeSocket) -> None:
+    """A node that accepts a connection but sends nothing is not linked to."""
+    opening = gevent.spawn(link.open_link, 'stopped:1', 'stopped', view.View())
+    paused_loop.advance(link.CONNECT_SECONDS + 0.05)
+    assert isinstance(opening.exception, error.ConnectError)
+    assert not sock.take_sent(frame.Heartbeat)
+
+
+def test_message_read_while_opening_is_handled(sock: FakeSocket) -> None:
+    """The first message of the other node is not lost."""
+    sock.received.put(frame.encode(frame.Heartbeat([7])))
+    opening = gevent.spawn(link.open_link, 'peer:1', 'peer', view.View())
+    paused_loop.advance(0.01)
+    gevent.spawn(opening.value.run, lambda source, message: None)
+    paused_loop.advance(0.01)
+    assert [query.kind for query in sock.take_sent(frame.RecordQuery)] == [
+        next(iter(registry.Kind)).value
+    ]
+
+
 def attach(server: link.LinkServer, number: int) -> FakeSocket:
     """Attach a node by a new connection.
 
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -330,6 +330,13 @@
         '        return self.route, 0\n',
         _BROKER,
     ),
+    guard_text.Guard(
+        'a broker has to send before it is linked to',
+        'nodes/link.py',
+        '        received = sock.recv(READ_BYTES)\n    except',
+        "        received = b'\\0\\0\\0\\0'\n    except",
+        'pimentoway/nodes/link_test.py',
+    ),
     guard_text.Guard(
         'runs that ended while unlinked are forgotten',
         'ops/enginetable.py',
