Try several candidates for the common broker at once

Nodes tried candidates one after the other, 0.3 s for each that is gone. In a failure domain that is cut off, the strongest VMs of all others precede its own: with 30 of them a node decided alone, with its part of the slots, for 9 s. Change: one candidate, then 4 at once, then 16, and so on; the highest-ranked one that answers is linked to. Weighed: a start every 0.1 s (3 s for 30), and all at once (each check would connect 194 nodes to all VMs). Result: test_lost_failure_domains_are_passed_quickly (30 lost candidates, 1.5 s) failed before.

--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -6,6 +6,7 @@
 needed, and nothing is lost when two nodes disagree for a while.
 """
 
+import collections
 import itertools
 
 import gevent
@@ -38,6 +39,11 @@
 #: to send the registry before it watches the store itself.
 JOIN_SECONDS = 0.3
 
+#: By how much more candidates are tried at once after none of the previous ones
+#: answered. One is tried at first, as it usually answers; the candidates of a
+#: failure domain that is cut off take a few attempts instead of one each.
+WAVE_GROWTH = 4
+
 _LOG = log.Log('election')
 
 
@@ -189,20 +195,36 @@
         ]
 
     def _connect_first(self, candidates: list[deployment.Peer]) -> bool:
-        for peer in candidates:
-            try:
-                opened = link.open_link(peer.address, peer.name, self._view)
-            except error.ConnectError as fault:
-                _LOG.write(
-                    'cannot connect to a broker.',
-                    peer=peer.name,
-                    reason=str(fault),
-                )
-                continue
-            self._switch_to(opened)
-            return True
+        for wave in _split_waves(candidates):
+            opened = self._open_highest(wave)
+            if opened:
+                self._switch_to(opened)
+                return True
         return False
 
+    def _open_highest(self, peers: list[deployment.Peer]) -> link.Link | None:
+        # Connects to all of them at once, and keeps the link to the first one.
+        attempts = [gevent.spawn(self._try_open, peer) for peer in peers]
+        kept = None
+        for attempt in attempts:
+            opened = attempt.get()
+            if kept is None:
+                kept = opened
+            elif opened:
+                opened.close()
+        return kept
+
+    def _try_open(self, peer: deployment.Peer) -> link.Link | None:
+        try:
+            return link.open_link(peer.address, peer.name, self._view)
+        except error.ConnectError as fault:
+            _LOG.write(
+                'cannot connect to a broker.',
+                peer=peer.name,
+                reason=str(fault),
+            )
+            return None
+
     def _switch_to(self, opened: link.Link) -> None:
         previous = self._link
         self._link = opened
@@ -241,3 +263,14 @@
     def _on_change(self, kind: registry.Kind) -> None:
         if kind is registry.Kind.peers:
             self._peers_changed.set()
+
+
+def _split_waves(
+    peers: list[deployment.Peer],
+) -> collections.abc.Iterator[list[deployment.Peer]]:
+    start = 0
+    size = 1
+    while start < len(peers):
+        yield peers[start : start + size]
+        start += size
+        size *= WAVE_GROWTH
--- a/pimentoway/nodes/election_test.py
+++ b/pimentoway/nodes/election_test.py
@@ -56,7 +56,9 @@
     """A node that selects its broker.
 
     Attributes:
-        reachable: The names and addresses that it can connect to.
+        reachable: The names and addresses that it can connect to; connecting
+            to others fails after ``connect_seconds``.
+        connect_seconds: How long it takes until connecting fails.
         links: The links that it opened, in order.
     """
 
@@ -74,6 +76,7 @@
             seeds: The addresses of its seeds.
         """
         self.reachable: set[str] = set()
+        self.connect_seconds: float = 0
         self.links: list[FakeLink] = []
         monkeypatch.setattr(link, 'open_link', self._open)
         settings = nodesetting.NodeSettings(
@@ -119,6 +122,7 @@
 
     def _open(self, address: str, peer: str, node_view: view.View) -> FakeLink:
         if peer not in self.reachable:
+            gevent.sleep(self.connect_seconds)
             raise error.ConnectError('cut', 'connect', address)
         opened = FakeLink(peer)
         self.links.append(opened)
@@ -205,3 +209,33 @@
     node.links[-1].close()
     paused_loop.advance(0.1)
     assert node.election.should_watch_store()
+
+
+# The strongest VMs of all other failure domains precede a node's own domain
+# in the ranking; connecting to each of them takes until the timeout.
+def test_lost_failure_domains_are_passed_quickly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node whose domain is cut off reaches a broker there within 1.5 s."""
+    node = Node(monkeypatch)
+    node.connect_seconds = link.CONNECT_SECONDS
+    node.reachable = {'near'}
+    for number in range(30):
+        node.add_peer(f'far-{number}', 8, zone='lost')
+    node.add_peer('near', 4)
+    paused_loop.advance(1.5)
+    assert node.election.broker_name == 'near'
+
+
+def test_highest_of_several_answers_is_linked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Of the candidates that answer, the highest-ranked one is linked to."""
+    node = Node(monkeypatch)
+    node.connect_seconds = link.CONNECT_SECONDS
+    for name, cores in (('lost', 9), ('first', 8), ('second', 7), ('third', 6)):
+        node.add_peer(name, cores)
+    node.reachable = {'first', 'second', 'third'}
+    paused_loop.advance(1)
+    assert node.election.broker_name == 'first'
+    assert [opened.peer for opened in node.links if opened.open] == ['first']
