Skip answers without an identifier on kept connections

Operators report that a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that it ran. It could happen here: an answer that names no request counted for the request in flight on any connection. Cause: Channel.read_head accepted an empty identifier; only a new connection proves that such an answer is to this request. Change: on a connection that was used before, an answer without an identifier is skipped like one that names another request. If nothing else comes, the outcome is unknown (504).

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -102,7 +102,8 @@
         """Read the head of the response to a request.
 
         Responses that name another request are skipped, and the connection
-        is then not reused.
+        is then not reused. So are those that name none, on a connection that
+        was used before: they may be late copies of an earlier response.
 
         Args:
             request_id: The identifier of the request.
@@ -118,7 +119,7 @@
         for _ in range(MAX_FOREIGN_RESPONSES):
             response = self._wait_for_head(deadline)
             metadata = self._dialect.read_metadata(response)
-            if metadata.request_id in {'', request_id}:
+            if self._is_own(metadata.request_id, request_id):
                 return response, metadata
             self._skip_body(response, deadline)
             self._reader.answers.popleft()
@@ -182,6 +183,11 @@
         """Close the connection, which makes the back end stop its work."""
         self._sock.close()
 
+    def _is_own(self, named: str, request_id: str) -> bool:
+        if named:
+            return named == request_id
+        return not self.reused
+
     def _send_available(self, unsent: memoryview) -> int:
         try:
             return self._sock.send(unsent)
--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -48,6 +48,7 @@
         close_after: The number of pieces after which the connection is closed;
             ``None`` to send the whole answer.
         foreign: Whether an answer to another attempt is sent first.
+        stray: Bytes that are sent first, such as an earlier answer.
         silent: Whether no answer is sent at all.
         endless: Bytes that are sent again and again after the body, until the
             peer closes the connection.
@@ -64,6 +65,7 @@
     pause: float = 0
     close_after: int | None = None
     foreign: bool = False
+    stray: bytes = b''
     silent: bool = False
     endless: bytes = b''
     endless_head: bool = False
@@ -148,6 +150,7 @@
         request: message.Request,
         script: Script,
     ) -> bool:
+        sock.sendall(script.stray)
         if script.silent:
             self.abandoned += not sock.recv(BLOCK_BYTES)
             return False
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -105,8 +105,8 @@
     guard_text.Guard(
         'foreign answers are passed over',
         'backends/channel.py',
-        "if metadata.request_id in {'', request_id}:",
-        'if True:',
+        '            return named == request_id\n',
+        '            return True\n',
         _EDGE,
         _REAL,
     ),
@@ -330,6 +330,14 @@
         '        return self.route, 0\n',
         _BROKER,
     ),
+    guard_text.Guard(
+        'responses without an identifier are foreign on kept connections',
+        'backends/channel.py',
+        '        return not self.reused\n',
+        '        return True\n',
+        'pimentoway/platform/stray_process_test.py',
+        'real',
+    ),
     guard_text.Guard(
         'a broker has to send before it is linked to',
         'nodes/link.py',
