Join only numbered events to a stream that has begun

Operators report that a stream broke off, the next engine answered with an error, and callers found its text in the middle of their stream, or an end. Cause: the answer of the next engine was not checked against the stream that it was to continue. Change: once a stream has begun, it is continued only by an event stream whose events have identifiers, as the request to resume names the last one.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -5,7 +5,14 @@
 
 from pimentoway.backends import channel, liveness
 from pimentoway.callers import request_context, response_writer
-from pimentoway.core import call, clock, deployment, error, message
+from pimentoway.core import (
+    call,
+    clock,
+    deployment,
+    error,
+    eventstream,
+    message,
+)
 from pimentoway.ops import slot, slotclient
 
 #: Seconds without data after which a resumable stream is continued at another
@@ -217,9 +224,15 @@
         # An incomplete event of the previous back end is dropped, as this one
         # sends it again.
         context.event_splitter.rest = b''
+        resumed = context.writer.started
+        if resumed and not _is_event_stream(response):
+            self._outcome = slot.Outcome.malformed
+            raise self._make_failure('the rest of a stream is no stream')
         part = self._read_part(conn, response)
         while part:
             events = self._split_events(part)
+            if resumed:
+                self._check_resumed(events)
             if events:
                 self._write_events(response, events)
             part = self._read_part(conn, response)
@@ -230,6 +243,11 @@
         context.writer.end_stream(context.event_splitter.rest)
         return 'answered'
 
+    def _check_resumed(self, events: bytes) -> None:
+        if eventstream.has_unnumbered_event(events):
+            self._outcome = slot.Outcome.malformed
+            raise self._make_failure('a resumed event has no identifier')
+
     def _check_stream_end(self, response: message.Answer) -> None:
         # HTTP marks the end of a body, not that of a stream: an engine that
         # fails may still end its body properly.
--- a/pimentoway/core/eventstream.py
+++ b/pimentoway/core/eventstream.py
@@ -14,6 +14,21 @@
 _EVENT_ID = re.compile(rb'(?:\A|[\r\n])id:[ ]?([^\r\n]*)')
 
 
+def has_unnumbered_event(events: bytes) -> bool:
+    """Tell whether an event has no identifier.
+
+    Args:
+        events: Complete events.
+
+    Returns:
+        Whether one has none; comments are no events.
+    """
+    return any(
+        _EVENT_LINE.search(event) and not _EVENT_ID.search(event)
+        for event in _EVENT_END.split(events)
+    )
+
+
 class EventSplitter:
     """Splits the body of a stream into complete events.
 
--- a/pimentoway/platform/stray_process_test.py
+++ b/pimentoway/platform/stray_process_test.py
@@ -4,11 +4,14 @@
 request: a whole entry node over real sockets, with scripted engines.
 """
 
+import gevent
 import pytest
 
 from pimentoway.platform import edge_process_test, scripted_engine
 
 Script = scripted_engine.Script
+EVENTS = edge_process_test.EVENTS
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 def make_stray(status: int, seal: str = '') -> bytes:
@@ -60,9 +63,7 @@
 
 @pytest.mark.parametrize('path', ['/quick/x', '/brief/x'])
 @pytest.mark.parametrize('stray', STRAYS)
-def test_stray_alone_proves_nothing(
-    stray: bytes, path: str
-) -> None:
+def test_stray_alone_proves_nothing(stray: bytes, path: str) -> None:
     """The engine may be running the request: it does not count as not run."""
     one = scripted_engine.ScriptedEngine(
         'e1', Script(), Script(stray=stray, silent=True)
@@ -74,3 +75,50 @@
     assert 'Retry-After' not in headers
     assert b'earlier' not in body
     assert len(one.requests) == 2
+
+
+def resume(following: Script) -> bytes:
+    """Break a stream off after two events, so that other engines go on.
+
+    Args:
+        following: What the other engines answer.
+
+    Returns:
+        The body that the caller gets, with its framing.
+    """
+    broken = Script(body=(*EVENTS[:2], b''), chunked=True, close_after=2)
+    harness = edge_process_test.NodeHarness(
+        scripted_engine.ScriptedEngine('e1', broken)
+    )
+    task = gevent.spawn(harness.call, '/resumable/x')
+    gevent.sleep(0.02)
+    for name in ('e2', 'e3'):
+        harness.add(scripted_engine.ScriptedEngine(name, following))
+    return task.get(timeout=edge_process_test.TIMEOUT_SECONDS)[2]
+
+
+# The next engine answered with a page of its own, under a status of success.
+@pytest.mark.parametrize('unframed', [True, False])
+@pytest.mark.parametrize('media_type', ['application/json', 'text/html', ''])
+@pytest.mark.parametrize('text', [b'{"error": "busy"}', b'busy\n\n'])
+def test_text_of_no_event_joins_no_stream(
+    text: bytes, media_type: str, unframed: bool
+) -> None:
+    """A stream that has begun gets only events, and no false end."""
+    headers = (f'Content-Type: {media_type}',) if media_type else ()
+    page = Script(body=(text,), headers=headers, unframed=unframed)
+    body = resume(page)
+    assert body.count(b'data: piece') == 2
+    assert b'busy' not in body
+    assert not body.endswith(LAST_CHUNK)
+
+
+@pytest.mark.parametrize('status', [404, 429, 500, 503])
+@pytest.mark.parametrize('sealed', [True, False])
+def test_failure_is_not_joined_to_a_stream(status: int, sealed: bool) -> None:
+    """Neither the head nor the body of an error follows the events."""
+    body = resume(Script(status=status, sealed=sealed, body=(b'failed',)))
+    assert body.count(b'data: piece') == 2
+    assert b'failed' not in body
+    assert b'HTTP/1.1' not in body
+    assert not body.endswith(LAST_CHUNK)
