Count only events as progress of a resumable stream

Operators report that stalled streams which sent a byte now and then never ended. Change: the time counts from the latest complete event.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -15,8 +15,9 @@
 )
 from pimentoway.ops import slot, slotclient
 
-#: Seconds without data after which a resumable stream is continued at another
-#: back end: several times the longest pause of a healthy stream.
+#: Seconds without an event after which a resumable stream is continued at
+#: another back end: several times the longest pause of a healthy stream. A
+#: stalled back end may still send comments or single bytes.
 RESUME_SECONDS = 1.2
 
 #: The longest idle time, in seconds, of a connection that is reused for a
@@ -88,6 +89,7 @@
         self._events_before = context.event_splitter.count
         self._metadata: call.AnswerMetadata | None = None
         self._outcome = slot.Outcome.abandoned
+        self._progressed_at = self._started
 
     def run(self) -> str:
         """Send the request, forward the response and report to the broker.
@@ -146,6 +148,7 @@
         context.sends += 1
         context.possible_runs += 1
         request_id = context.request.request_id
+        self._progressed_at = clock.read_monotonic()
         try:
             conn.send(b'%s%s' % (head, context.request.body), context.deadline)
             response, metadata = conn.read_head(
@@ -228,9 +231,12 @@
         if resumed and not _is_event_stream(response):
             self._outcome = slot.Outcome.malformed
             raise self._make_failure('the rest of a stream is no stream')
+        self._progressed_at = clock.read_monotonic()
         part = self._read_part(conn, response)
         while part:
             events = self._split_events(part)
+            if eventstream.has_event(events):
+                self._progressed_at = clock.read_monotonic()
             if resumed:
                 self._check_resumed(events)
             if events:
@@ -315,8 +321,7 @@
     def _compute_read_deadline(self) -> float:
         context = self._context
         if context.route.resumable and context.may_retry():
-            deadline = clock.read_monotonic() + RESUME_SECONDS
-            return min(context.deadline, deadline)
+            return min(context.deadline, self._progressed_at + RESUME_SECONDS)
         return context.deadline
 
     def _handle_cut(self, fault: error.ConnectionLostError) -> Exception:
--- a/pimentoway/core/eventstream.py
+++ b/pimentoway/core/eventstream.py
@@ -14,6 +14,18 @@
 _EVENT_ID = re.compile(rb'(?:\A|[\r\n])id:[ ]?([^\r\n]*)')
 
 
+def has_event(events: bytes) -> bool:
+    """Tell whether there is an event among comments.
+
+    Args:
+        events: Complete events and comments.
+
+    Returns:
+        Whether there is.
+    """
+    return bool(_EVENT_LINE.search(events))
+
+
 def has_unnumbered_event(events: bytes) -> bool:
     """Tell whether an event has no identifier.
 
--- a/pimentoway/platform/stray_process_test.py
+++ b/pimentoway/platform/stray_process_test.py
@@ -4,9 +4,12 @@
 request: a whole entry node over real sockets, with scripted engines.
 """
 
+import time
+
 import gevent
 import pytest
 
+from pimentoway.callers import backend_attempt
 from pimentoway.platform import edge_process_test, scripted_engine
 
 Script = scripted_engine.Script
@@ -122,3 +125,42 @@
     assert b'failed' not in body
     assert b'HTTP/1.1' not in body
     assert not body.endswith(LAST_CHUNK)
+
+
+# A stalled engine keeps its stream open by a byte now and then.
+@pytest.mark.parametrize('comment', [b':', b'\n', b': still here\n\n', b'd'])
+def test_stalled_stream_with_bytes_is_resumed(comment: bytes) -> None:
+    """Only events count as progress: another engine goes on in time."""
+    comments = (comment,) * 80
+    one = scripted_engine.ScriptedEngine(
+        'e1', Script(body=(*EVENTS[:1], *comments), chunked=True, pause=0.05)
+    )
+    harness = edge_process_test.NodeHarness(one)
+    started = time.monotonic()
+    task = gevent.spawn(harness.call, '/resumable/x')
+    gevent.sleep(0.05)
+    harness.add(
+        scripted_engine.ScriptedEngine(
+            'e2', Script(body=EVENTS[1:], chunked=True)
+        )
+    )
+    body = task.get(timeout=edge_process_test.TIMEOUT_SECONDS)[2]
+    assert body.count(b'data: piece') == len(EVENTS)
+    assert body.endswith(LAST_CHUNK)
+    assert time.monotonic() - started < backend_attempt.RESUME_SECONDS + 1
+
+
+def test_slow_sound_stream_is_not_cut() -> None:
+    """A stream may last longer than the limit for one of its pauses."""
+    pause = backend_attempt.RESUME_SECONDS / 3
+    one = scripted_engine.ScriptedEngine(
+        'e1', Script(body=EVENTS, chunked=True, pause=pause)
+    )
+    two = scripted_engine.ScriptedEngine('e2')
+    harness = edge_process_test.NodeHarness(one)
+    task = gevent.spawn(harness.call, '/resumable/x')
+    gevent.sleep(0.05)
+    harness.add(two)
+    body = task.get(timeout=edge_process_test.TIMEOUT_SECONDS)[2]
+    assert body.count(b'data: piece') == len(EVENTS)
+    assert not two.requests
