Don't send a request after its deadline

Operators report that a process which had been paused acted on a permission that had run out. Change: the deadline is checked once more before the request is sent; the grant is returned unused, and the caller is told that this copy did not run.

--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -182,10 +182,9 @@
     def _forward(self, context: request_context.RequestContext) -> str:
         for _ in range(MAX_SLOT_REQUESTS):
             slot_request, engine = self._request_slot(context)
+            self._check_deadline(context, slot_request)
             if engine is None:
-                self._slots.report(
-                    slot.Report(slot_request.number, slot.Outcome.unused),
-                )
+                self._report_unused(slot_request)
                 continue
             context.engine_name = engine.name
             try:
@@ -196,6 +195,23 @@
                 context.avoided = (*context.avoided, engine.name)
         raise error.NoBackendError('no back end takes the request', 'place')
 
+    def _check_deadline(
+        self,
+        context: request_context.RequestContext,
+        slot_request: slot.SlotRequest,
+    ) -> None:
+        # The process may have been stopped since the grant.
+        if clock.read_monotonic() >= context.deadline:
+            self._report_unused(slot_request)
+            raise error.ExpiredError(
+                'the deadline passed before the request was sent', 'place'
+            )
+
+    def _report_unused(self, slot_request: slot.SlotRequest) -> None:
+        self._slots.report(
+            slot.Report(slot_request.number, slot.Outcome.unused)
+        )
+
     def _request_slot(
         self, context: request_context.RequestContext
     ) -> tuple[slot.SlotRequest, deployment.Engine | None]:
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -368,6 +368,14 @@
         'if unpacker.unused_data:',
         'pimentoway/nodes/frame_test.py',
     ),
+    guard_text.Guard(
+        'a grant is not used after the deadline',
+        'callers/forward.py',
+        '        if clock.read_monotonic() >= context.deadline:\n',
+        '        if False:\n',
+        'pimentoway/platform/pause_process_test.py',
+        _REAL,
+    ),
     guard_text.Guard(
         'a broker has to send before it is linked to',
         'nodes/link.py',
