Use connections to back ends for one request, own interface

Operators report that a server sent a second copy of an answer, late, on a connection in use again, and the next caller got an answer that was not its own. It could happen here: answers of applications name no request, and neither does an engine's error. Change: the connection of a request to a back end is neither an idle one nor kept; reports still share connections. It replaces the option for requests that must not repeat.

--- a/pimentoway/backends/exchange.py
+++ b/pimentoway/backends/exchange.py
@@ -259,7 +259,7 @@
         first_byte_seconds=min(link.first_byte_seconds, remaining_seconds),
         gap_seconds=link.gap_seconds,
         deadline=req.deadline,
-        fresh=not req.service.repeatable,
+        exclusive=True,
     )
 
 
--- a/pimentoway/backends/exchange_process_test.py
+++ b/pimentoway/backends/exchange_process_test.py
@@ -51,14 +51,53 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+class RepeatingBackend:
+    """A back end that sends an earlier answer once more.
+
+    The copy comes on the same connection, after the next request and before
+    its answer.
+
+    Attributes:
+        address: Its IP number and port.
+    """
+
+    def __init__(self, earlier: bytes, own: bytes) -> None:
+        """Start listening on a free port of localhost.
+
+        Args:
+            earlier: The answer to the first request of a connection.
+            own: The answer to each later one.
+        """
+        self._earlier = earlier
+        self._own = own
+        self._accepted = 0
+        self._server = gevent_server.StreamServer(
+            ('127.0.0.1', 0), self._handle
+        )
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.server_port}'
+
+    def _handle(self, sock: gevent_socket.socket, address: tuple) -> None:
+        self._accepted += 1
+        sock.recv(connection.BLOCK_BYTES)
+        sock.sendall(self._earlier if self._accepted == 1 else self._own)
+        while sock.recv(connection.BLOCK_BYTES):
+            sock.sendall(self._earlier)
+            gevent.sleep(0.02)
+            sock.sendall(self._own)
+
+
 def read_answer(
-    backend_type: type[configuration.Backend], peer: ClosingBackend
+    backend_type: type[configuration.Backend],
+    peer: ClosingBackend | RepeatingBackend,
+    pool: connection.Pool | None = None,
 ) -> list[request.Piece]:
     """Send a request to a back end and read its answer.
 
     Args:
         backend_type: The type of the back end.
         peer: The back end.
+        pool: The connections to use; new ones if omitted.
 
     Returns:
         The pieces of the answer.
@@ -74,7 +113,7 @@
         deadline=clock.read_monotonic() + 3,
     )
     link = exchange.BackendLink(
-        connection.Pool(), on_report=lambda name, report: None
+        pool or connection.Pool(), on_report=lambda name, report: None
     )
     return list(exchange.open_answer(backend, sent, link))
 
@@ -118,3 +157,43 @@
     peer = ClosingBackend(b'%s\r\n%s' % (HEAD, sent), reset)
     with pytest.raises(error.ConnectionLostError):
         read_answer(configuration.Engine, peer)
+
+
+def make_answer(status: int, body: bytes) -> bytes:
+    """Make an answer that keeps its connection open.
+
+    Args:
+        status: The status.
+        body: The body.
+
+    Returns:
+        The bytes.
+    """
+    return (
+        b'HTTP/1.1 %d Status\r\nContent-Type: text/event-stream\r\n'
+        b'Content-Length: %d\r\n\r\n%s' % (status, len(body), body)
+    )
+
+
+# A server sent a second copy of an answer on a connection in use again; the
+# next caller got an answer that was not its own.
+def test_copy_of_an_earlier_answer_is_not_read() -> None:
+    """The answers of applications name no request, so none may be mixed up."""
+    peer = RepeatingBackend(
+        make_answer(200, b'earlier'), make_answer(200, b'own')
+    )
+    pool = connection.Pool()
+    first = read_answer(configuration.Application, peer, pool)
+    second = read_answer(configuration.Application, peer, pool)
+    assert [piece.payload for piece in first + second] == [b'earlier', b'own']
+
+
+def test_copy_of_an_earlier_refusal_is_not_read() -> None:
+    """An engine's error names no request: it must not fail the next one."""
+    own = make_answer(200, b''.join(EVENTS))
+    peer = RepeatingBackend(make_answer(503, b'busy'), own)
+    pool = connection.Pool()
+    with pytest.raises(error.FailedError):
+        read_answer(configuration.Engine, peer, pool)
+    pieces = read_answer(configuration.Engine, peer, pool)
+    assert [piece.sequence for piece in pieces] == [1, 2, 3]
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -62,8 +62,10 @@
         connect_seconds: The timeout for connecting.
         first_byte_seconds: The timeout until the answer begins.
         gap_seconds: The timeout between two reads of the answer's body.
-        fresh: Whether to open a new connection rather than reuse an idle one.
         deadline: The monotonic time after which the answer is of no use.
+        exclusive: Whether no other call uses the connection, before or after
+            this one. The answer's head names no request, so it can't be told
+            from a late copy of another answer.
     """
 
     address: str
@@ -74,8 +76,8 @@
     connect_seconds: float = 1
     first_byte_seconds: float = 30
     gap_seconds: float = 10
-    fresh: bool = False
     deadline: float = math.inf
+    exclusive: bool = False
 
     def compute_read_timeout(self) -> float:
         """Compute the timeout of the next read of the answer's body.
@@ -225,10 +227,11 @@
         """Return the connection to the pool if it is reusable, or close it.
 
         It is reusable if the answer was read completely and the peer keeps
-        the connection open.
+        the connection open, unless the call is ``exclusive``.
         """
         reply = self._reply
-        if reply.message_complete and reply.should_keep_alive():
+        reusable = reply.message_complete and reply.should_keep_alive()
+        if reusable and not self._call.exclusive:
             self._pool.release(self._call.address, self._sock)
         else:
             self._sock.close()
@@ -304,10 +307,10 @@
 
     def _acquire(self, call: Call) -> gevent_socket.socket:
         idle = self._idle_by_address.get(call.address, ())
-        while idle:
+        while idle and not call.exclusive:
             idle_since, sock = idle.pop()
             recent = clock.read_monotonic() - idle_since < IDLE_SECONDS
-            if recent and not call.fresh and not is_readable(sock):
+            if recent and not is_readable(sock):
                 return sock
             sock.close()
         return connect(call.address, call.connect_seconds)
