Let starting nodes wait for a seed that lists the records

Change: until it knows any node, only a seed reads the store at once; the others wait up to a second for one. test_starting_nodes_wait_for_their_seeds failed before.

--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -36,8 +36,9 @@
 WATCHERS_PER_ZONE = 2
 
 #: Seconds after the start in which a node that has seeds waits for one of them
-#: to send the registry before it watches the store itself.
-JOIN_SECONDS = 0.3
+#: to send the registry before it watches the store itself. A seed has to start,
+#: too, and to list all records, on a VM with a tenth of a core.
+JOIN_SECONDS = 1.0
 
 #: By how much more candidates are tried at once after none of the previous ones
 #: answered. One is tried at first, as it usually answers; the candidates of a
@@ -113,12 +114,13 @@
 
         Returns:
             Whether it should. A node that started less than ``JOIN_SECONDS``
-            ago and has seeds should not yet.
+            ago, and that knows no node yet, should only if it is a seed
+            itself or has none.
         """
+        if not self._view.peers_by_name:
+            return self._is_first() or self._is_past_joining()
         if self._link is None:
-            # A node that just started may get the whole registry from a seed.
-            age = clock.read_monotonic() - self._started
-            return age > JOIN_SECONDS or not self._list_seeds()
+            return True
         zone_peers = [
             peer
             for peer in self._view.peers_by_name.values()
@@ -142,6 +144,14 @@
                 FAST_CHECK_SECONDS if fast else CHECK_SECONDS
             )
 
+    def _is_first(self) -> bool:
+        # Other nodes wait for the seeds to have the registry.
+        seeds = self._settings.seeds
+        return not seeds or self._settings.peers in seeds
+
+    def _is_past_joining(self) -> bool:
+        return clock.read_monotonic() - self._started > JOIN_SECONDS
+
     def _list_candidates(self) -> list[deployment.Peer]:
         # The nodes that rank above both this node and the broker in use. The
         # seeds, if no other node is known.
--- a/pimentoway/nodes/election_test.py
+++ b/pimentoway/nodes/election_test.py
@@ -192,6 +192,41 @@
     assert not node.links[0].open
 
 
+# All nodes start at the same time: each of them listed every kind of records in
+# the store, as the seeds had no records yet.
+def test_starting_nodes_wait_for_their_seeds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node linked to a seed without records does not list them itself."""
+    node = Node(monkeypatch, seeds=('seed:1',))
+    node.reachable = {'seed:1'}
+    paused_loop.advance(election.JOIN_SECONDS / 2)
+    assert node.election.broker_name == 'seed:1'
+    assert not node.election.should_watch_store()
+    paused_loop.advance(election.JOIN_SECONDS)
+    assert node.election.should_watch_store()
+
+
+def test_seed_lists_the_records_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The other nodes wait for it, so it waits for nobody."""
+    node = Node(monkeypatch, seeds=('here:1', 'seed:1'))
+    node.reachable = {'seed:1'}
+    assert node.election.should_watch_store()
+    paused_loop.advance(0.1)
+    assert node.election.should_watch_store()
+
+
+def test_node_without_a_reachable_seed_lists(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All seeds are gone: the store is asked after ``JOIN_SECONDS``."""
+    node = Node(monkeypatch, seeds=('seed:1',))
+    paused_loop.advance(election.JOIN_SECONDS + 0.1)
+    assert node.election.should_watch_store()
+
+
 def test_two_nodes_of_a_zone_watch_the_store(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
