Let late requests yield to timely ones of the next lower tier of customers

Change: late requests are ordered as many ranks lower as a tier of customers has, as they were for neighbouring tiers of routes. What they guarantee doesn't change.

--- a/pimentoway/callers/request_context.py
+++ b/pimentoway/callers/request_context.py
@@ -6,10 +6,7 @@
 
 from pimentoway.callers import response_writer
 from pimentoway.core import call, deployment, eventstream, message
-
-#: The number of distinct route ranks within one customer rank; higher route
-#: ranks count as the last of them.
-ROUTE_RANKS = 4
+from pimentoway.ops import slot
 
 
 @dataclasses.dataclass(eq=False)
@@ -87,8 +84,8 @@
             return self.route.rank
         # The customer's rank takes precedence; the route's rank orders the
         # requests of customers of the same rank.
-        rank = min(self.route.rank, ROUTE_RANKS - 1)
-        return self.customer.rank * ROUTE_RANKS + rank
+        rank = min(self.route.rank, slot.ROUTE_RANKS - 1)
+        return self.customer.rank * slot.ROUTE_RANKS + rank
 
     def compute_quota_cost(self) -> float:
         """Compute what the request uses of its customer's quota.
--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -149,6 +149,38 @@
     assert simulation.get_counts(DRAFT.name).compute_on_time_ratio() > 0.95
 
 
+def measure_lower_tier_after_a_burst(rank: int) -> float:
+    """Let a burst of the highest tier precede steady requests of a lower one.
+
+    Args:
+        rank: The lower tier.
+
+    Returns:
+        The ratio of its requests that are answered in time.
+    """
+    simulation = load.Simulation()
+    high = dataclasses.replace(NOTE, rank=0, time_limit=6)
+    simulation.generate_requests(2, (high,), 16, 'high')
+    paused_loop.advance(2)
+    low = dataclasses.replace(NOTE, rank=rank)
+    simulation.generate_requests(4, (low,), customer='low')
+    paused_loop.advance(60)
+    return simulation.get_counts(NOTE.name, 'low').compute_on_time_ratio()
+
+
+# A burst by customers of the highest tier: what was left of it, all late, went
+# before timely requests of the other customers, which became late, too.
+def test_late_requests_yield_to_other_customers() -> None:
+    """Timely requests a tier of customers lower fare nearly as well.
+
+    They are served in time at least 0.9 times as often as those that are only
+    a tier of routes lower.
+    """
+    next_route_tier = measure_lower_tier_after_a_burst(1)
+    next_customer_tier = measure_lower_tier_after_a_burst(slot.ROUTE_RANKS)
+    assert next_customer_tier >= next_route_tier * 0.9
+
+
 def test_retries_do_not_displace_new_requests() -> None:
     """Retries after refusals: most answers go to requests still in time."""
     simulation = load.Simulation()
--- a/pimentoway/ops/routequeue.py
+++ b/pimentoway/ops/routequeue.py
@@ -22,6 +22,14 @@
 #: known deployments have 0.1 and 0.5.
 LATE_VALUE_RATIO = 0.3
 
+#: The factor by which the order of late requests differs from that of timely
+#: ones of the same route and tier. They yield to timely requests of the next
+#: lower tier of customers, too, or one burst of a higher tier would make all
+#: requests of the lower ones late.
+LATE_ORDER_RATIO = LATE_VALUE_RATIO * routestats.TIER_VALUE_RATIO ** (
+    1 - slot.ROUTE_RANKS
+)
+
 #: The bands of a queue; the values of neighbours differ by a seventh.
 BANDS = 7
 
@@ -180,7 +188,7 @@
         self.count = 0
         self._timely = tuple(ValueBand(ratio) for ratio in VALUE_RATIOS)
         self._late = tuple(
-            ValueBand(ratio * LATE_VALUE_RATIO) for ratio in VALUE_RATIOS
+            ValueBand(ratio * LATE_ORDER_RATIO) for ratio in VALUE_RATIOS
         )
         self._band_by_key: dict[enginestate.RunKey, ValueBand] = {}
         self._served = ServiceCount()
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+#: The number of distinct tiers of routes within one tier of customers; higher
+#: ranks of routes count as the last of them.
+ROUTE_RANKS = 4
+
 
 class Reason(enum.IntEnum):
     """The reason of a refusal. A refused request has not run."""
