--- a/pimentoway/nodes/frame_test.py
+++ b/pimentoway/nodes/frame_test.py
@@ -338,3 +338,14 @@
     """A peer asks for records of a kind that does not exist."""
     with pytest.raises(error.NodeError):
         frame.RecordEncoder(view.View()).encode(frame.RecordQuery('odd', 1))
+
+
+def test_cut_compressed_records_are_refused() -> None:
+    """Records whose checksum is missing are not applied."""
+    cut = zlib.compress(b'\x80')[:-4]
+    with pytest.raises(error.NodeError):
+        frame.apply_records(
+            frame.Records('engines', 1, cut, [], True, packed=True),
+            view.View(),
+            'peer',
+        )
