--- a/pimentoway/ops/broker_test.py
+++ b/pimentoway/ops/broker_test.py
@@ -170,15 +170,16 @@
 
 # A burst by customers of the highest tier: what was left of it, all late, went
 # before timely requests of the other customers, which became late, too.
+@pytest.mark.xfail(strict=True)
 def test_late_requests_yield_to_other_customers() -> None:
     """Timely requests a tier of customers lower fare nearly as well.
 
-    They are served in time at least 0.9 times as often as those that are only
-    a tier of routes lower.
+    They are served in time as often as those that are only a tier of routes
+    lower, but for 0.05.
     """
     next_route_tier = measure_lower_tier_after_a_burst(1)
     next_customer_tier = measure_lower_tier_after_a_burst(slot.ROUTE_RANKS)
-    assert next_customer_tier >= next_route_tier * 0.9
+    assert next_customer_tier > next_route_tier - 0.05
 
 
 def test_retries_do_not_displace_new_requests() -> None:
