Log callers' connections that are closed with unread bytes

A whole request that arrived on a connection just before its idle time ended left no trace, so the logs could not tell this from a request that never came.

--- a/pimentoway/callers/connection.py
+++ b/pimentoway/callers/connection.py
@@ -108,8 +108,7 @@
                 trace=traceback.format_exc(limit=-4),
             )
         finally:
-            self._sock.close()
-            self._release_bodies()
+            self._close()
 
     def close_idle(self) -> None:
         """Close the connection if it is idle and has no unread data."""
@@ -252,6 +251,27 @@
                 reason=str(fault),
             )
 
+    def _close(self) -> None:
+        self._log_unread()
+        self._sock.close()
+        self._release_bodies()
+
+    def _log_unread(self) -> None:
+        # The caller may have sent a whole request that nobody reads any more.
+        if self._sock.closed or not connection.is_readable(self._sock):
+            return
+        try:
+            unread = self._sock.recv(RECEIVE_BYTES, gevent_socket.MSG_PEEK)
+        except OSError:
+            return
+        if unread:
+            _LOG.write(
+                'connection is closed with unread bytes.',
+                peer=self.peer,
+                unread=len(unread),
+                closing=self.closing,
+            )
+
     def _reject(self, fault: message.MessageError) -> None:
         _LOG.write(
             'request rejected, the connection is closed.',
