Answer requests whose handling raised an unexpected error

Callers saw a connection that ended without an answer, although their request had been read whole. Cause: Forwarder turned only errors of the project's own hierarchy into answers; CallerConnection.run logged any other one and closed the connection.

--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -1,6 +1,9 @@
 """Forwards callers' requests: route, API key, slot, back end, response."""
 
+import collections
+import contextlib
 import math
+import traceback
 
 from pimentoway.backends import channel, liveness
 from pimentoway.callers import (
@@ -109,7 +112,8 @@
         arrived: float,
     ) -> bool:
         try:
-            context = self._make_context(request, writer, arrived)
+            with _convert_unexpected(request.request_id):
+                context = self._make_context(request, writer, arrived)
         except error.PimentowayError as fault:
             self._log_refused(request, fault)
             writer.write_error(fault)
@@ -156,7 +160,8 @@
 
     def _serve_context(self, context: request_context.RequestContext) -> str:
         try:
-            return self._forward(context)
+            with _convert_unexpected(context.request.request_id):
+                return self._forward(context)
         except error.PimentowayError as fault:
             return self._end_with_error(context, fault)
 
@@ -310,6 +315,25 @@
         )
 
 
+@contextlib.contextmanager
+def _convert_unexpected(
+    request_id: str,
+) -> collections.abc.Generator[None, None, None]:
+    # Without an answer, the caller could not tell whether the request was run.
+    try:
+        yield
+    except (error.PimentowayError, connection.CallerDisconnectedError):
+        raise
+    except Exception as fault:
+        _LOG.write(
+            'unexpected error while the request was served.',
+            request_id,
+            reason=repr(fault),
+            trace=traceback.format_exc(limit=-4),
+        )
+        raise error.InternalError('unexpected error', 'serve') from fault
+
+
 def _compute_first_event_deadline(
     context: request_context.RequestContext,
 ) -> float:
--- a/pimentoway/core/error.py
+++ b/pimentoway/core/error.py
@@ -156,6 +156,12 @@
     code = 'shutting_down'
 
 
+class InternalError(NotRunError):
+    """An error of an unexpected type, before the request was sent."""
+
+    code = 'internal'
+
+
 class FailedError(PimentowayError):
     """The back end reported that the request failed."""
 
