--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -139,6 +139,10 @@
         route = config.find_route(request.host, request.path)
         if route is None:
             raise error.UnknownServiceError('no route matches', 'route')
+        if not route.shares:
+            raise error.NoBackendError(
+                f'the route {route.name} names no service', 'route'
+            )
         customer = _find_customer(config, route, request)
         timeout = min(
             route.timeout or math.inf,
--- a/pimentoway/platform/unanswered_process_test.py
+++ b/pimentoway/platform/unanswered_process_test.py
@@ -63,3 +63,14 @@
             answer: The answer of the back end.
         """
         raise_key_error(answer)
+
+
+# Guards against connections that end without an answer because a route in the
+# configuration names no service.
+def test_route_without_service_is_refused() -> None:
+    """The node has nothing to choose from, which the caller is told."""
+    harness = edge_process_test.NodeHarness(make_engine())
+    harness.configure(2, (edge_process_test.make_route('safe', shares=()),))
+    status, _, body = harness.call('/safe/x')
+    assert status == 503
+    assert b'no_backend' in body
