Look once more for a request before an idle connection is closed

Callers saw a reset connection after a whole request. Cause: the timer of the idle time was due while the event loop stood still (a large configuration is decoded in one go), the request arrived before the task of the connection ran, and the task closed the connection without looking at the socket. Test: test_request_before_the_close_is_answered, which failed before (connection reset); now the request is answered.

--- a/pimentoway/callers/connection.py
+++ b/pimentoway/callers/connection.py
@@ -159,9 +159,14 @@
             # when the connection became idle.
             max_idle = max(max_idle, self._read_limits().idle_seconds)
             remaining = idle_since + max_idle - clock.read_monotonic()
-            if remaining <= 0 or self.closing:
+            if self.closing:
                 return None
-            if not self._receive(min(remaining, LIMITS_POLL_SECONDS)):
+            # After a pause of the event loop the time may be over although the
+            # next request has arrived.
+            if remaining <= 0 and not connection.is_readable(self._sock):
+                return None
+            timeout = max(remaining, connection.MIN_TIMEOUT_SECONDS)
+            if not self._receive(min(timeout, LIMITS_POLL_SECONDS)):
                 return None
         self.idle = False
         return self._complete_request(requests[0])
--- a/pimentoway/platform/unanswered_process_test.py
+++ b/pimentoway/platform/unanswered_process_test.py
@@ -1,12 +1,21 @@
 """Tests that each request that was read whole gets an answer."""
 
 import functools
+import time
 
+import gevent
 import pytest
 
-from pimentoway.core import message
+from pimentoway.core import deployment, message
 from pimentoway.platform import edge_process_test, scripted_engine
 
+IDLE_SECONDS = 0.6
+
+#: Seconds before the end of the idle time at which the event loop of the node
+#: begins to stand still, and for how long it does.
+EARLY_SECONDS = 0.15
+PAUSE_SECONDS = 0.4
+
 
 def raise_key_error(*args: object) -> None:
     """Raise an error that no part of the node raises on purpose.
@@ -74,3 +83,28 @@
     status, _, body = harness.call('/safe/x')
     assert status == 503
     assert b'no_backend' in body
+
+
+# Guards against an idle connection that is closed although the next request
+# has arrived: the event loop stood still beyond the end of the idle time, and
+# the request came before the task of the connection ran again.
+def test_request_before_the_close_is_answered() -> None:
+    """The socket is looked at once more when the idle time is over."""
+    harness = edge_process_test.NodeHarness(make_engine())
+    limits = deployment.CallerLimits(idle_seconds=IDLE_SECONDS)
+    harness.node._forwarder.read_limits = lambda: limits
+    sock = harness.connect()
+    sock.sendall(edge_process_test.make_request('/safe/x', extra=''))
+    assert sock.recv(65536).startswith(b'HTTP/1.1 200')
+    # Both timers are due after the pause, this one first.
+    gevent.spawn_later(
+        IDLE_SECONDS - EARLY_SECONDS / 2,
+        sock.sendall,
+        edge_process_test.make_request('/safe/x'),
+    )
+    gevent.sleep(IDLE_SECONDS - EARLY_SECONDS)
+    time.sleep(PAUSE_SECONDS)
+    status, _, _ = edge_process_test.parse_answer(
+        edge_process_test.read_all(sock)
+    )
+    assert status == 200
