End a link, or refuse one slot request, after an unexpected error

Callers' requests waited until their callers had gone. Cause, found by reading: an unexpected error while a message was handled ended the task of a link, but neither end noticed. The node went on sending slot requests to a closed link and did not use its own broker; the broker's node kept the link in its table. Now the link is closed, which both ends recover from; a slot request that the broker can't handle is refused alone; and a change of the broker sends all other requests again.

--- a/pimentoway/nodes/link.py
+++ b/pimentoway/nodes/link.py
@@ -7,6 +7,7 @@
 
 import collections
 import functools
+import traceback
 
 import gevent
 from gevent import event as gevent_event
@@ -115,6 +116,15 @@
             self._read(on_message)
         except (OSError, error.NodeError) as fault:
             _LOG.write('connection ended.', peer=self.peer, reason=str(fault))
+        except Exception as unexpected:
+            # Both ends recover from a closed link, but not from one that is
+            # open and no longer read.
+            _LOG.write(
+                'unexpected error, closes the connection.',
+                peer=self.peer,
+                reason=repr(unexpected),
+                trace=traceback.format_exc(limit=-4),
+            )
         finally:
             self.close()
             writer.kill()
--- a/pimentoway/nodes/link_test.py
+++ b/pimentoway/nodes/link_test.py
@@ -225,3 +225,33 @@
     paused_loop.advance(0.01)
     assert live.take_sent(slot.Grant) == [slot.Grant(7, 'e')]
     assert not detached
+
+
+def raise_key_error(source: link.Link, message: frame.Message) -> None:
+    """Raise an error that no handler of messages raises on purpose.
+
+    Args:
+        source: The link.
+        message: The message.
+
+    Raises:
+        KeyError: Unless a node attaches.
+    """
+    if not isinstance(message, frame.Attach):
+        raise KeyError(message)
+
+
+# Guards against a node whose slot requests wait until their callers have gone:
+# its link was no longer read, but still counted as open.
+def test_unexpected_error_ends_the_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Both ends notice: `run` returns, and the server detaches the node."""
+    monkeypatch.setattr(connection, 'set_socket_options', lambda sock: None)
+    detached = []
+    server = link.LinkServer(view.View(), raise_key_error, detached.append)
+    sock = attach(server, 1)
+    sock.received.put(frame.encode(slot.Report(1, slot.Outcome.answered)))
+    paused_loop.advance(0.01)
+    assert detached == ['n/b']
+    assert not server.link_by_requester
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -8,6 +8,10 @@
 #: ranks of routes count as the last of them.
 ROUTE_RANKS = 4
 
+#: Seconds after which a caller may retry whose slot request raised an
+#: unexpected error at the broker.
+UNEXPECTED_RETRY_SECONDS = 1.0
+
 
 class Reason(enum.IntEnum):
     """The reason of a refusal. A refused request has not run."""
@@ -206,3 +210,15 @@
 
     customer: str
     cost: float
+
+
+def refuse_unexpected(request: SlotRequest) -> Refusal:
+    """Refuse a slot request whose handling raised an unexpected error.
+
+    Args:
+        request: The slot request.
+
+    Returns:
+        The refusal, after which a retry may go to another node.
+    """
+    return Refusal(request.number, Reason.overloaded, UNEXPECTED_RETRY_SECONDS)
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -258,7 +258,16 @@
             patience_left=request.patience_left - elapsed,
         )
         pending.sent_at = clock.read_monotonic()
-        self._submit(pending)
+        try:
+            self._submit(pending)
+        except Exception as fault:
+            # The other slot requests must still be sent.
+            _LOG.write(
+                'unexpected error, the slot request is refused.',
+                number=request.number,
+                reason=repr(fault),
+            )
+            pending.reply.set(slot.refuse_unexpected(request))
 
     def _await_grant(self, pending: _Pending) -> slot.Grant:
         timeout = pending.request.time_left + REPLY_GRACE_SECONDS
--- a/pimentoway/ops/slotclient_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -1,5 +1,7 @@
 """Tests of requesting slots at another node's broker and at the own one."""
 
+from unittest import mock
+
 import gevent
 import msgspec
 import pytest
@@ -148,6 +150,29 @@
     assert task.get(timeout=1) == 'e0'
 
 
+# Guards against slot requests that are never sent again after the broker has
+# raised an unexpected error for another one.
+def test_unexpected_error_spares_other_requests() -> None:
+    """Broker change: one request is refused, the others are sent again."""
+    pair = BrokerPair()
+    pair.attach_remote()
+    pair.drops_messages = True
+    tasks = [
+        gevent.spawn(pair.slots.acquire_slot, pair.make_request())
+        for _ in range(2)
+    ]
+    gevent.idle()
+    pair.drops_messages = False
+    pair.local.submit = mock.Mock(
+        wraps=pair.local.submit,
+        side_effect=(KeyError('unexpected'), mock.DEFAULT),
+    )
+    pair.slots.switch_broker(None)
+    gevent.idle()
+    assert isinstance(tasks[0].exception, error.NotRunError)
+    assert tasks[1].get(timeout=1) == 'e0'
+
+
 def test_caller_that_leaves_withdraws_its_request() -> None:
     """A caller that leaves while it waits is removed from the queue."""
     pair = BrokerPair()
--- a/pimentoway/platform/unanswered_process_test.py
+++ b/pimentoway/platform/unanswered_process_test.py
@@ -7,6 +7,8 @@
 import pytest
 
 from pimentoway.core import deployment, message
+from pimentoway.nodes import link
+from pimentoway.ops import slot, slotclient_test
 from pimentoway.platform import edge_process_test, scripted_engine
 
 IDLE_SECONDS = 0.6
@@ -62,6 +64,20 @@
     assert 'Retry-After' not in headers
 
 
+# Guards against slot requests of other nodes that wait until their callers have
+# gone, because the broker raised an unexpected error.
+def test_unexpected_error_of_broker_is_a_refusal() -> None:
+    """The node that sent the slot request gets a reply, and its link stays."""
+    node = edge_process_test.NodeHarness().node
+    replies: list[slot.Refusal] = []
+    node.broker.submit = raise_key_error
+    node._links.reply = lambda requester, reply: replies.append(reply)
+    source = link.Link(None, 'n2', node.view)
+    request = slotclient_test.REQUEST
+    node._on_message(source, request)
+    assert [reply.number for reply in replies] == [request.number]
+
+
 class FailingDialect:
     """A dialect whose answers can't be decoded for an unexpected reason."""
 
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import traceback
 import uuid
 
 import gevent
@@ -281,7 +282,7 @@
 
     def _on_message(self, source: link.Link, content: frame.Message) -> None:
         if isinstance(content, slot.SlotRequest):
-            self.broker.submit(source.requester, content)
+            self._submit(source.requester, content)
         elif isinstance(content, slot.Report):
             self.broker.finish(source.requester, content)
         elif isinstance(content, frame.Attach):
@@ -289,6 +290,20 @@
             self.broker.adopt(source.requester, content.running, content.usage)
             self._update_share()
 
+    def _submit(self, requester: str, request: slot.SlotRequest) -> None:
+        try:
+            self.broker.submit(requester, request)
+        except Exception as fault:
+            # The other requests of the node must not suffer.
+            _LOG.write(
+                'unexpected error, the slot request is refused.',
+                owner=requester,
+                number=request.number,
+                reason=repr(fault),
+                trace=traceback.format_exc(limit=-4),
+            )
+            self._send_reply(requester, slot.refuse_unexpected(request))
+
     def _on_detach(self, requester: str) -> None:
         _LOG.write('a node detached from this broker.', owner=requester)
         self.broker.drop_requester(requester)
