--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -1,6 +1,9 @@
 """Forwards callers' requests: route, API key, slot, back end, response."""
 
+import collections
+import contextlib
 import math
+import traceback
 
 from pimentoway.backends import channel, liveness
 from pimentoway.callers import (
@@ -109,7 +112,8 @@
         arrived: float,
     ) -> bool:
         try:
-            context = self._make_context(request, writer, arrived)
+            with _convert_unexpected(request.request_id):
+                context = self._make_context(request, writer, arrived)
         except error.PimentowayError as fault:
             self._log_refused(request, fault)
             writer.write_error(fault)
@@ -135,6 +139,10 @@
         route = config.find_route(request.host, request.path)
         if route is None:
             raise error.UnknownServiceError('no route matches', 'route')
+        if not route.shares:
+            raise error.NoBackendError(
+                f'the route {route.name} names no service', 'route'
+            )
         customer = _find_customer(config, route, request)
         timeout = min(
             route.timeout or math.inf,
@@ -156,7 +164,8 @@
 
     def _serve_context(self, context: request_context.RequestContext) -> str:
         try:
-            return self._forward(context)
+            with _convert_unexpected(context.request.request_id):
+                return self._forward(context)
         except error.PimentowayError as fault:
             return self._end_with_error(context, fault)
 
@@ -310,6 +319,25 @@
         )
 
 
+@contextlib.contextmanager
+def _convert_unexpected(
+    request_id: str,
+) -> collections.abc.Generator[None, None, None]:
+    # Without an answer, the caller could not tell whether the request was run.
+    try:
+        yield
+    except (error.PimentowayError, connection.CallerDisconnectedError):
+        raise
+    except Exception as fault:
+        _LOG.write(
+            'unexpected error while the request was served.',
+            request_id,
+            reason=repr(fault),
+            trace=traceback.format_exc(limit=-4),
+        )
+        raise error.InternalError('unexpected error', 'serve') from fault
+
+
 def _compute_first_event_deadline(
     context: request_context.RequestContext,
 ) -> float:
