Log listings of the store that are not newer than what is known

The logs of a restored store showed watches that expired, but not that the listing after each of them was dropped, nor its revision. The stand-in of the store can go back to an earlier state, as the platform's does in a drill.

--- a/pimentoway/ops/registrywatcher.py
+++ b/pimentoway/ops/registrywatcher.py
@@ -95,7 +95,13 @@
             snapshot = view.Snapshot(
                 kind, listing.revision, listing.records_by_name
             )
-            self._view.apply_snapshot(snapshot, 'store list')
+            if not self._view.apply_snapshot(snapshot, 'store list'):
+                _LOG.write(
+                    'listing is not newer than the known records.',
+                    kind=kind.value,
+                    revision=listing.revision,
+                    known=self._view.revision_by_kind[kind],
+                )
             return True
         revision = self._view.revision_by_kind[kind]
         changes = self._source.watch_records(kind, revision, WATCH_SECONDS)
--- a/pimentoway/platform/memory_store.py
+++ b/pimentoway/platform/memory_store.py
@@ -33,6 +33,7 @@
         404: '404 Not Found',
         409: '409 Conflict',
         410: '410 Gone',
+        503: '503 Service Unavailable',
     },
 )
 
@@ -46,17 +47,30 @@
     event: Json
 
 
+@dataclasses.dataclass(frozen=True)
+class _Undo:
+    revision: int
+    kind: str
+    name: str
+    replaced: Json | None
+
+
 class MemoryStore:
     """An in-memory store that keeps its history until it is compacted.
 
     Attributes:
         address: Its IP number and port.
         revision: The revision of the last change; 1 when empty.
+        era: Counts how often it was restored from a copy; starts at 1.
+        calls: The calls answered so far.
     """
 
     def __init__(self) -> None:
         """Start listening on a free port of localhost."""
         self.revision = 1
+        self.era = 1
+        self.calls = 0
+        self._undo_log: list[_Undo] = []
         self._compacted_revision = 0
         self._objects_by_kind: dict[str, dict[str, Json]] = (
             collections.defaultdict(dict)
@@ -103,12 +117,34 @@
         self._compacted_revision = self.revision
         self._history.clear()
 
+    def restore(self, revision: int) -> None:
+        """Go back to an earlier state, as after a restart from a copy.
+
+        Waiting watches end with an error. Later revisions are given out again.
+
+        Args:
+            revision: The revision of the copy.
+        """
+        while self._undo_log and self._undo_log[-1].revision > revision:
+            undo = self._undo_log.pop()
+            if undo.replaced is None:
+                self._objects_by_kind[undo.kind].pop(undo.name, None)
+            else:
+                self._objects_by_kind[undo.kind][undo.name] = undo.replaced
+        self._history = [
+            logged for logged in self._history if logged.revision <= revision
+        ]
+        self.revision = revision
+        self.era += 1
+        self._change_signal.set()
+
     def _handle_request(
         self, environ: Json, start_response: collections.abc.Callable
     ) -> list[bytes]:
         path = environ['PATH_INFO'].removeprefix(_PATH_PREFIX)
         query = dict(parse.parse_qsl(environ['QUERY_STRING']))
         method = environ['REQUEST_METHOD']
+        self.calls += 1
         if method == 'GET':
             status, response = self._handle_get(path, query)
         else:
@@ -120,6 +156,7 @@
         headers = [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(body))),
+            ('Store-Era', str(self.era)),
         ]
         start_response(_STATUS_LINES_BY_CODE[status], headers)
         return [body]
@@ -128,13 +165,16 @@
         if 'Watch' not in query:
             return self._list_page(kind, query.get('AfterRev', ''))
         after = int(query['Watch'])
-        if after < self._compacted_revision:
+        if not self._compacted_revision <= after <= self.revision:
             return 410, {}
+        era = self.era
         events = self._list_events_after(kind, after)
         if not events:
             self._change_signal.clear()
             # Changes of any kind end the wait, so there may still be no event.
             self._change_signal.wait(int(query['WaitMs']) / MILLISECONDS)
+            if era != self.era:
+                return 503, {}
             events = self._list_events_after(kind, after)
         return 200, {'events': events, 'StoreRevision': self.revision}
 
@@ -194,6 +234,7 @@
             if all(existing[key] == field for key, field in fields.items()):
                 return existing
         self.revision += 1
+        self._undo_log.append(_Undo(self.revision, kind, name, existing))
         created = existing['Metadata']['Created'] if existing else self.revision
         metadata = {
             'Name': name,
@@ -209,6 +250,7 @@
         existing = self._objects_by_kind[kind].pop(name, None)
         if existing:
             self.revision += 1
+            self._undo_log.append(_Undo(self.revision, kind, name, existing))
             self._publish(kind, {'Object': existing, 'Removed': True})
 
     def _publish(self, kind: str, event: Json) -> None:
