Keep the configuration in a node's records when it is listed again

A node that starts after a listing was repeated, as after every lost history of the store, got no configuration from the node that it linked to, and answered 503 until the next change. Cause: the view holds the configuration under another name than the listing, so each repeated listing removed it from the records that are passed on. Found while the restored store was traced; test: test_configuration_listed_again_is_passed_on, which failed before (no record).

--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -298,6 +298,9 @@
             )
 
     def _remove(self, kind: registry.Kind, name: str) -> None:
+        if kind is registry.Kind.configuration:
+            # Some configuration is always in force.
+            return
         if kind is registry.Kind.engines and self._may_be_running(name):
             expiry = clock.read_monotonic() + EXPIRY_GRACE_SECONDS
             self._expiry_by_name.setdefault(name, expiry)
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -98,6 +98,19 @@
     assert registry_view.revision_by_kind[Kind.engines] == 9
 
 
+# Guards against nodes that start without a configuration: the others, which
+# had listed it again, sent them none.
+def test_configuration_listed_again_is_passed_on() -> None:
+    """A listing with the known version leaves the configuration in place."""
+    registry_view = view.View()
+    records = {'main': make_deployment(7)}
+    for revision in (5, 6):
+        snapshot = view.Snapshot(Kind.configuration, revision, records)
+        registry_view.apply_snapshot(snapshot, 'store list')
+    passed_on = registry_view.make_snapshot(Kind.configuration)
+    assert list(passed_on.records_by_name.values()) == [make_deployment(7)]
+
+
 def test_removed_back_end_is_gone_at_once() -> None:
     """While the store works, a removal is not delayed."""
     registry_view = view.View()
