Order revisions of the store by era, so that a restored store is followed

Cause: revisions were compared across the restoration. A restored store counts from a lower number again, so each listing looked older than the view and was dropped, and the watch went on from a revision that the store didn't have, or had given out again for another change.

A revision now consists of the store's era and its own number, made in the adapter, so that views, links and steps of a configuration keep comparing one integer. A watch ends when the era changes, also the watches that are waiting; a report on a rollout that was read in an earlier era is not written.

--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -98,11 +98,13 @@
         status: The HTTP status.
         content_type: The media type.
         body: The body.
+        headers: The headers, by name in lowercase.
     """
 
     status: int
     content_type: str
     body: bytes
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class BoundedResponse(response.HTTPSocketResponse):
@@ -182,6 +184,14 @@
         """
         return self._reply.get(name, '')
 
+    def read_headers(self) -> dict[str, str]:
+        """Read all headers of the answer.
+
+        Returns:
+            The values by the name in lowercase; of a repeated header the last.
+        """
+        return {name.lower(): text for name, text in self._reply.items()}
+
     def read_line(self) -> bytes:
         """Read a line of the body.
 
@@ -290,7 +300,12 @@
             body = exchange.read_body()
         finally:
             exchange.close()
-        return Answer(exchange.status, exchange.content_type, body)
+        return Answer(
+            exchange.status,
+            exchange.content_type,
+            body,
+            exchange.read_headers(),
+        )
 
     def release(self, address: str, sock: gevent_socket.socket) -> None:
         """Add an idle connection, or close it if the pool is full.
--- a/pimentoway/core/registry.py
+++ b/pimentoway/core/registry.py
@@ -1,4 +1,10 @@
-"""The interface to the platform's store of typed records."""
+"""The interface to the platform's store of typed records.
+
+Revisions grow with each change. A store that was restored from a copy gives
+the same numbers out again, so a revision consists of the era, which counts the
+restorations, and the store's own number: any revision of a later era is
+greater.
+"""
 
 import abc
 import dataclasses
@@ -17,6 +23,39 @@
 )
 
 
+#: The bits of a revision that hold the store's own number.
+NUMBER_BITS = 44
+
+#: The largest era and the largest number; a revision has 63 bits.
+MAX_ERA = 0x7FFFF
+MAX_NUMBER = 0xFFFFFFFFFFF
+
+
+def join_revision(era: int, number: int) -> int:
+    """Make a revision that can be compared over restorations of the store.
+
+    Args:
+        era: How often the store was restored; 0 if it doesn't tell.
+        number: The store's own revision.
+
+    Returns:
+        The revision.
+    """
+    return (era << NUMBER_BITS) | number
+
+
+def split_revision(revision: int) -> tuple[int, int]:
+    """Undo ``join_revision``.
+
+    Args:
+        revision: The revision.
+
+    Returns:
+        The era and the store's own number.
+    """
+    return revision >> NUMBER_BITS, revision & MAX_NUMBER
+
+
 class Kind(enum.Enum):
     """The kinds of stored records."""
 
@@ -101,7 +140,8 @@
 
         Raises:
             WatchExpiredError: If the platform no longer has the changes since
-                the revision; the records must be listed again.
+                the revision, or was restored from a copy meanwhile; the
+                records must be listed again.
         """
 
     @abc.abstractmethod
@@ -146,5 +186,5 @@
 
         Raises:
             PlatformConflictError: If the stored order or its state has
-                changed since that revision.
+                changed since that revision, or the store was restored.
         """
--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -176,7 +176,9 @@
     seconds: typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
-def decode(kind: registry.Kind, stored: StoredObject) -> registry.Record:
+def decode(
+    kind: registry.Kind, stored: StoredObject, era: int = 0
+) -> registry.Record:
     """Decode an object of the store as a record of the product.
 
     Raises a ``MsgspecError`` if a field is missing, has another type or holds
@@ -185,12 +187,20 @@
     Args:
         kind: The kind of the object, which selects its schema.
         stored: The object with its undecoded contents.
+        era: The era of the store in which it was read.
 
     Returns:
         The record; for an evacuation, the name of the failure domain.
 
     """
-    return _DECODERS_BY_KIND[kind](stored)
+    metadata = msgspec.structs.replace(
+        stored.metadata,
+        revision=registry.join_revision(era, stored.metadata.revision),
+        created=registry.join_revision(era, stored.metadata.created),
+    )
+    return _DECODERS_BY_KIND[kind](
+        msgspec.structs.replace(stored, metadata=metadata)
+    )
 
 
 def _decode_configuration(stored: StoredObject) -> deployment.Deployment:
--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -3,6 +3,7 @@
 import types
 from urllib import parse
 
+import gevent
 import msgspec
 
 from pimentoway.core import (
@@ -28,6 +29,12 @@
 #: Milliseconds in a second.
 MILLISECONDS = 1000
 
+#: Counts how often the store was restored from a copy; in all its answers.
+ERA_HEADER = 'store-era'
+
+#: The most digits of an era that are read.
+MAX_ERA_DIGITS = 9
+
 _PATH_PREFIX = '/pimentoway/objects'
 
 #: The path segment of each kind in the store. `pimentoway-nodes` is this
@@ -89,6 +96,8 @@
         """
         self._address = address
         self._pool = connection.Pool()
+        self._era = 0
+        self._watching: set[gevent.Greenlet] = set()
 
     def list_records(self, kind: registry.Kind) -> registry.Listing:
         """List all records of a kind page by page.
@@ -101,16 +110,25 @@
 
         Raises:
             PlatformError: If the listing has more than ``MAX_PAGES`` pages.
+            PlatformUnavailableError: If the store was restored meanwhile.
         """
         changes: list[registry.Change] = []
         revision = 0
         for _ in range(MAX_PAGES):
             after = changes[-1].name if changes else ''
-            page = self._read_page(kind, after)
+            era, page = self._read_page(kind, after)
             # A watch from the first page's revision also reports what changed
             # while the later pages were read.
-            revision = revision or page.store_revision
-            changes.extend(_decode_object(kind, raw) for raw in page.entries)
+            revision = revision or registry.join_revision(
+                era, page.store_revision
+            )
+            if registry.split_revision(revision)[0] != era:
+                raise error.PlatformUnavailableError(
+                    'the store was restored between two pages', 'list'
+                )
+            changes.extend(
+                _decode_object(kind, raw, era) for raw in page.entries
+            )
             if not page.has_more:
                 return registry.Listing(revision, _collect_records(changes))
         raise error.PlatformError(
@@ -131,19 +149,15 @@
             The changes and the revision to continue from; no changes if the
             wait ended without any.
         """
+        era, number = registry.split_revision(revision)
         milliseconds = int(seconds * MILLISECONDS)
-        path = f'{_make_path(kind)}?Watch={revision}&WaitMs={milliseconds}'
-        answer = self._call('GET', path, wait_seconds=seconds)
+        path = f'{_make_path(kind)}?Watch={number}&WaitMs={milliseconds}'
+        answer = self._call_in_era(path, era, seconds)
         watch_answer = _decode(answer.body, _WatchAnswer)
-        changes = []
-        for event in watch_answer.events:
-            change = _decode_object(kind, event.object)
-            if event.removed:
-                change = registry.Change(change.name, None)
-            if change.name:
-                changes.append(change)
+        reached = registry.join_revision(era, watch_answer.store_revision)
         return registry.Changes(
-            max(revision, watch_answer.store_revision), tuple(changes)
+            max(revision, reached),
+            _decode_events(kind, watch_answer.events, era),
         )
 
     def put_peer(self, peer: deployment.Peer) -> None:
@@ -189,16 +203,29 @@
         Args:
             rollout: The rollout; its revision makes the write conditional.
             state: ``active``, ``complete`` or ``reverted``.
+
+        Raises:
+            PlatformConflictError: If the store was restored since the order
+                was read, so that its revision may belong to another change.
         """
+        era, number = registry.split_revision(rollout.revision)
+        if self._era > era:
+            raise error.PlatformConflictError(
+                'the store was restored', 'report', rollout.service
+            )
         path = _make_path(registry.Kind.rollouts, rollout.service)
         body = {
             'Metadata': {
                 'Name': rollout.service,
-                'Revision': rollout.revision,
+                'Revision': number,
             },
             'Status': record.encode_rollout(rollout, state),
         }
-        self._call('PUT', f'{path}/status', body)
+        answer = self._call('PUT', f'{path}/status', body)
+        if self._read_era(answer) != era:
+            raise error.PlatformConflictError(
+                'the store was restored', 'report', rollout.service
+            )
 
     def _put(
         self, kind: registry.Kind, name: str, spec: dict[str, object]
@@ -209,11 +236,61 @@
         except error.PlatformConflictError:
             self._call('PUT', _make_path(kind, name), body)
 
-    def _read_page(self, kind: registry.Kind, after: str) -> _Page:
+    def _read_page(self, kind: registry.Kind, after: str) -> tuple[int, _Page]:
         # Despite its name, AfterRev takes the name of the last object seen.
         query = f'?{parse.urlencode({"AfterRev": after})}' if after else ''
         answer = self._call('GET', f'{_make_path(kind)}{query}')
-        return _decode(answer.body, _Page)
+        return self._read_era(answer), _decode(answer.body, _Page)
+
+    def _call_in_era(
+        self, path: str, era: int, seconds: float
+    ) -> connection.Answer:
+        # A revision means nothing in another era: the same number may have
+        # been given out again.
+        current = gevent.getcurrent()
+        self._watching.add(current)
+        try:
+            self._check_era(era, self._era)
+            answer = self._call('GET', path, wait_seconds=seconds)
+        finally:
+            self._watching.discard(current)
+        self._check_era(era, self._read_era(answer))
+        return answer
+
+    def _check_era(self, era: int, latest: int) -> None:
+        if latest > era:
+            raise error.WatchExpiredError(
+                f'the store was restored, era {latest}', 'watch', self._address
+            )
+
+    def _read_era(self, answer: connection.Answer) -> int:
+        text = answer.headers.get(ERA_HEADER, '')
+        if not (text.isascii() and text.isdigit()):
+            # Without the header nothing shows that the store was restored.
+            return self._era
+        return min(int(text[:MAX_ERA_DIGITS]), registry.MAX_ERA)
+
+    def _note_era(self, answer: connection.Answer) -> None:
+        era = self._read_era(answer)
+        if era < self._era:
+            raise error.PlatformAmbiguousError(
+                f'late answer of era {era}, now {self._era}', 'call'
+            )
+        if era == self._era:
+            return
+        _LOG.write(
+            'the era of the store changed.',
+            era=era,
+            before=self._era,
+            watches=len(self._watching),
+        )
+        self._era = era
+        for watching in self._watching - {gevent.getcurrent()}:
+            # Nothing may end a wait that began before the restoration.
+            gevent.kill(
+                watching,
+                error.WatchExpiredError('the store was restored', 'watch'),
+            )
 
     def _call(
         self,
@@ -243,6 +320,7 @@
             raise error.PlatformAmbiguousError(
                 fault.reason, method, path
             ) from fault
+        self._note_era(answer)
         _check_status(answer, method, path)
         return answer
 
@@ -287,14 +365,29 @@
     }
 
 
-def _decode_object(kind: registry.Kind, raw: bytes) -> registry.Change:
+def _decode_events(
+    kind: registry.Kind, events: list[_Event], era: int
+) -> tuple[registry.Change, ...]:
+    changes = []
+    for event in events:
+        change = _decode_object(kind, event.object, era)
+        if event.removed:
+            change = registry.Change(change.name, None)
+        if change.name:
+            changes.append(change)
+    return tuple(changes)
+
+
+def _decode_object(
+    kind: registry.Kind, raw: bytes, era: int
+) -> registry.Change:
     # An object that can't be decoded must not hide the others. Its record
     # counts as removed.
     name = ''
     try:
         name = msgspec.json.decode(raw, type=_NamedObject).metadata.name
         stored = msgspec.json.decode(raw, type=record.StoredObject)
-        return registry.Change(name, record.decode(kind, stored))
+        return registry.Change(name, record.decode(kind, stored, era))
     except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
         _LOG.write(
             'cannot decode an object, its record is dropped.',
--- a/pimentoway/platform/store_test.py
+++ b/pimentoway/platform/store_test.py
@@ -17,8 +17,8 @@
     """A connection pool that returns prepared answers in order.
 
     Attributes:
-        answers: What the next calls get: a status and a JSON body, or an
-            error to raise.
+        answers: What the next calls get: a status, a JSON body and, if any,
+            the era of the store, or an error to raise.
         calls: The calls made so far.
     """
 
@@ -38,9 +38,12 @@
         answer = self.answers.popleft()
         if isinstance(answer, Exception):
             raise answer
-        status, body = answer
+        status, body, *eras = answer
         return connection.Answer(
-            status, 'application/json', json.dumps(body).encode()
+            status,
+            'application/json',
+            json.dumps(body).encode(),
+            dict.fromkeys([store.ERA_HEADER][: len(eras)], str(*eras)),
         )
 
 
@@ -196,3 +199,86 @@
     )
     listing = listing_registry.list_records(registry.Kind.part_blocks)
     assert listing.records_by_name == {block.name: block}
+
+
+def list_in_eras(
+    *eras: object,
+) -> tuple[store.PlatformRegistry, list[registry.Listing]]:
+    """List the nodes once in each of several eras of the store.
+
+    Args:
+        *eras: The eras, as the store sends them; the revisions fall.
+
+    Returns:
+        The registry and the listings.
+    """
+    platform_registry, _ = make_registry(
+        *(
+            (200, {'StoreRevision': 50 - number}, era)
+            for number, era in enumerate(eras)
+        ),
+    )
+    listings = [
+        platform_registry.list_records(registry.Kind.peers) for _ in eras
+    ]
+    return platform_registry, listings
+
+
+def test_revisions_of_a_later_era_are_greater() -> None:
+    """A restored store counts from a lower number again."""
+    _, listings = list_in_eras(1, 2)
+    assert listings[0].revision < listings[1].revision
+    assert registry.split_revision(listings[1].revision) == (2, 49)
+
+
+@pytest.mark.parametrize('era', ['', '-1', '2.5', 'x', '\u00b2'])
+def test_unreadable_era_is_the_known_one(era: str) -> None:
+    """An answer without a number leaves the era as it is."""
+    _, listings = list_in_eras(3, era)
+    assert registry.split_revision(listings[1].revision) == (3, 49)
+
+
+def test_huge_era_does_not_overflow() -> None:
+    """Revisions are sent to other nodes as integers of 64 bits."""
+    _, listings = list_in_eras('9' * 5000)
+    assert listings[0].revision < 2**63
+
+
+def test_answer_of_an_earlier_era_is_dropped() -> None:
+    """It was on its way while the store was restored."""
+    with pytest.raises(error.PlatformAmbiguousError):
+        list_in_eras(2, 1)
+
+
+# Guards against changes that are never seen: the revision of a watch had been
+# given out again by the restored store.
+@pytest.mark.parametrize('era', [1, 2])
+def test_watch_expires_when_the_era_changes(era: int) -> None:
+    """The answer of a later era says nothing about the earlier revision."""
+    platform_registry, pool = make_registry(
+        (200, {'StoreRevision': 60, 'events': []}, 2),
+        (200, {'StoreRevision': 60, 'events': []}, 2),
+    )
+    revision = registry.join_revision(era, 50)
+    if era == 2:
+        changes = platform_registry.watch_records(
+            registry.Kind.peers, revision, 1
+        )
+        assert changes.revision == registry.join_revision(2, 60)
+        assert 'Watch=50&' in pool.calls[0].path
+        return
+    for _ in range(2):
+        with pytest.raises(error.WatchExpiredError):
+            platform_registry.watch_records(registry.Kind.peers, revision, 1)
+    assert len(pool.calls) == 1
+
+
+# Guards against a report that is written to another order, or another state of
+# it, which got the same revision after a restoration.
+def test_rollout_report_of_earlier_era_conflicts() -> None:
+    """The order has to be read again before its state is reported."""
+    platform_registry, _ = list_in_eras(2)
+    revision = registry.join_revision(1, 77)
+    rollout = deployment.Rollout('s', 'v2', 12, 'x', '', revision)
+    with pytest.raises(error.PlatformConflictError):
+        platform_registry.report_rollout(rollout, 'reverted')
