Let nodes compare configurations by version, not by the revision of the store

A node that starts after the store was restored reads an older configuration than its peers have in force, at the same revision, and would serve callers by it until the next change.

--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -68,9 +68,13 @@
     Attributes:
         revisions: The revision of each kind, in the order of
             ``registry.Kind``.
+        version: The version of the configuration in force at the sender; 0 if
+            it has none. It may be newer than what the store holds at the
+            sender's revision, if the store was restored from a copy.
     """
 
     revisions: list[int]
+    version: int = 0
 
 
 class RecordQuery(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -200,11 +204,13 @@
     def _make_answer(
         self, kind: registry.Kind, query: RecordQuery
     ) -> Records | ConfigurationStep:
+        changes = None
         if kind is registry.Kind.configuration:
             base = self._view.find_configuration(query.version)
             if base:
                 return self._make_step(base)
-        changes = self._view.list_changes(kind, query.after)
+        else:
+            changes = self._view.list_changes(kind, query.after)
         if changes is None:
             snapshot = self._view.make_snapshot(kind)
             packed, encoded = _pack(snapshot.records_by_name, query.version)
--- a/pimentoway/nodes/frame_test.py
+++ b/pimentoway/nodes/frame_test.py
@@ -349,3 +349,27 @@
             view.View(),
             'peer',
         )
+
+
+# Guards against a newer configuration that is dropped because the node that has
+# it read the store at a lower revision, or at the same one.
+@pytest.mark.parametrize('known', [0, 11, 12])
+@pytest.mark.parametrize('revision', [59, 60, 61])
+def test_newer_version_is_applied_at_any_revision(
+    known: int, revision: int
+) -> None:
+    """Steps and snapshots are applied by the version that they lead to."""
+    sender = view.View()
+    configure(sender, 50, make_configuration(12, {'a': 1}))
+    configure(sender, revision, make_configuration(13, {'a': 2}))
+    receiver = view.View()
+    if known:
+        configure(receiver, 60, make_configuration(known, {'a': 1}))
+    answer = answer_query(sender, Kind.configuration, 60, known)
+    if isinstance(answer, frame.ConfigurationStep):
+        frame.apply_step(answer, receiver, 'test')
+    else:
+        frame.apply_records(answer, receiver, 'test')
+    assert receiver.version == 13
+    assert receiver.deployment.routes[0].timeout == 2
+    assert receiver.revision_by_kind[Kind.configuration] >= revision
--- a/pimentoway/nodes/link.py
+++ b/pimentoway/nodes/link.py
@@ -93,7 +93,7 @@
         self._queried_by_kind: dict[str, float] = {}
         self._next_heartbeat: float = 0
         self._next_revisions: float = 0
-        self._sent_revisions: list[int] = []
+        self._sent_heartbeat: frame.Heartbeat | None = None
 
     def send(self, message: frame.Message) -> None:
         """Queue a message for sending, without blocking.
@@ -181,14 +181,17 @@
 
     def _add_heartbeat(self, now: float) -> None:
         # Any message shows that this node lives. A heartbeat is sent only when
-        # the link is idle, when revisions changed, and every
+        # the link is idle, when what it tells has changed, and every
         # REVISIONS_SECONDS.
-        revisions = list(self._view.revision_by_kind.values())
+        heartbeat = frame.Heartbeat(
+            list(self._view.revision_by_kind.values()),
+            self._view.version,
+        )
         due = now >= self._next_heartbeat or now >= self._next_revisions
-        if due or revisions != self._sent_revisions:
-            self._sent_revisions = revisions
+        if due or heartbeat != self._sent_heartbeat:
+            self._sent_heartbeat = heartbeat
             self._next_revisions = now + REVISIONS_SECONDS
-            self.send(frame.Heartbeat(revisions))
+            self.send(heartbeat)
 
     def _handle_registry(self, message: frame.Message) -> bool:
         if isinstance(message, frame.Heartbeat):
@@ -210,6 +213,8 @@
             registry.Kind, heartbeat.revisions, strict=False
         ):
             behind = self._view.revision_by_kind[kind] < revision
+            if kind is registry.Kind.configuration:
+                behind = behind or self._view.version < heartbeat.version
             queried = self._queried_by_kind.get(kind.value, float('-inf'))
             if behind and now - queried >= QUERY_SECONDS:
                 self._queried_by_kind[kind.value] = now
@@ -217,8 +222,8 @@
 
     def _make_query(self, kind: registry.Kind) -> frame.RecordQuery:
         version = 0
-        if kind is registry.Kind.configuration and self._view.deployment:
-            version = self._view.deployment.version
+        if kind is registry.Kind.configuration:
+            version = self._view.version
         return frame.RecordQuery(
             kind.value, self._view.revision_by_kind[kind], version
         )
--- a/pimentoway/nodes/link_test.py
+++ b/pimentoway/nodes/link_test.py
@@ -187,6 +187,26 @@
     ]
 
 
+# Guards against a node that starts after the store was restored and stays with
+# its older configuration, although the others have a newer one in force.
+def test_newer_version_is_requested(
+    sock: FakeSocket,
+) -> None:
+    """The version decides, not the revision, which is the restored store's."""
+    node_view = view.View()
+    older = deployment.Deployment(11, (), {}, {}, deployment.CallerLimits())
+    listing = view.Snapshot(registry.Kind.configuration, 60, {'main': older})
+    node_view.apply_snapshot(listing, 'store list')
+    sock.received.put(frame.encode(frame.Heartbeat([60], 13)))
+    opening = gevent.spawn(link.open_link, 'peer:1', 'peer', node_view)
+    paused_loop.advance(0.01)
+    gevent.spawn(opening.value.run, lambda source, message: None)
+    paused_loop.advance(0.01)
+    assert sock.take_sent(frame.RecordQuery) == [
+        frame.RecordQuery(registry.Kind.configuration.value, 60, 11)
+    ]
+
+
 def attach(server: link.LinkServer, number: int) -> FakeSocket:
     """Attach a node by a new connection.
 
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -67,17 +67,23 @@
         self._history_by_kind: dict[registry.Kind, collections.deque] = {
             kind: collections.deque(maxlen=KEPT_CHANGES)
             for kind in registry.Kind
+            if kind is not registry.Kind.configuration
         }
-        # Each change of this kind holds a whole configuration.
-        self._history_by_kind[registry.Kind.configuration] = collections.deque(
-            maxlen=1
-        )
         self._configurations: collections.deque[deployment.Deployment] = (
             collections.deque(maxlen=KEPT_CONFIGURATIONS)
         )
         self._callbacks: list[Callback] = []
         self._store_failed_at = float('-inf')
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force.
+
+        Returns:
+            The version; 0 if there is no configuration yet.
+        """
+        return self.deployment.version if self.deployment else 0
+
     @property
     def engines_by_name(self) -> types.MappingProxyType:
         """The registered back ends.
@@ -157,6 +163,9 @@
     def apply_snapshot(self, snapshot: Snapshot, source: str) -> bool:
         """Replace all records of a kind, if the snapshot is newer.
 
+        A configuration is newer by its version, whatever the revision: a
+        restored store may hold an older one than the nodes.
+
         Args:
             snapshot: The records.
             source: Where they came from, for the log.
@@ -165,7 +174,8 @@
             Whether the snapshot was newer than the known records.
         """
         kind = snapshot.kind
-        if snapshot.revision <= self.revision_by_kind[kind]:
+        is_newer = snapshot.revision > self.revision_by_kind[kind]
+        if not is_newer and not self._has_newer_version(snapshot):
             return False
         known = self._records_by_kind[kind]
         removed = [
@@ -217,7 +227,8 @@
         """List the changes of a kind after a revision.
 
         Args:
-            kind: The kind.
+            kind: The kind; not that of the configuration, whose steps follow
+                from ``find_configuration``.
             after: The revision.
 
         Returns:
@@ -240,7 +251,8 @@
     ) -> None:
         """Apply changes of a kind, and call the callbacks.
 
-        Changes up to a revision older than the known one are ignored.
+        Changes up to a revision older than the known one are ignored, except
+        for a newer version of the configuration.
 
         Args:
             kind: The kind.
@@ -248,10 +260,11 @@
             source: Where they came from, for the log.
         """
         before = self.revision_by_kind[kind]
-        if changes.revision < before:
-            return
-        self._history_by_kind[kind].append((before, changes))
-        self.revision_by_kind[kind] = changes.revision
+        if kind is not registry.Kind.configuration:
+            if changes.revision < before:
+                return
+            self._history_by_kind[kind].append((before, changes))
+        self.revision_by_kind[kind] = max(before, changes.revision)
         for change in changes.changes:
             self._apply(kind, change, source)
         if changes.changes:
@@ -276,6 +289,13 @@
         if overdue:
             self._notify(registry.Kind.engines)
 
+    def _has_newer_version(self, snapshot: Snapshot) -> bool:
+        return any(
+            isinstance(record, deployment.Deployment)
+            and record.version > self.version
+            for record in snapshot.records_by_name.values()
+        )
+
     def _apply(
         self, kind: registry.Kind, change: registry.Change, source: str
     ) -> None:
--- a/pimentoway/standin/network.py
+++ b/pimentoway/standin/network.py
@@ -235,6 +235,14 @@
         """
         return self._load if name == exchange.LOAD_HEADER else ''
 
+    def read_headers(self) -> dict[str, str]:
+        """Read all headers of the answer.
+
+        Returns:
+            The load header.
+        """
+        return {exchange.LOAD_HEADER.lower(): self._load}
+
     def read_line(self) -> bytes:
         """Read a line of the body.
 
