Keep what a restored store has lost until it is written again

After the platform's store came back from a copy, callers' requests could go to back ends that had announced that they leave or were gone, to an evacuated failure domain, or to a version that had been taken back; nodes and blocks of crashing prompt parts were forgotten. Cause: a listing of the restored store was taken for the present state, although it is older than what nodes know, and what the nodes themselves had written is gone.

At the first listing of a later era, records that it lacks are kept for the time in which their writers write them again; an entry of a back end that is older by its start and its count of changes than the known one is ignored; one that was removed comes back only if it outlasts a lease. Orders for rollouts keep their identity and their latest state. Nodes write their own records again: their entries, blocks of parts, states of rollouts; the leader at once, others later if the leader doesn't know of them.

--- a/pimentoway/core/deployment.py
+++ b/pimentoway/core/deployment.py
@@ -351,6 +351,7 @@
         cold_seconds: How long it will be cold, counted from when it wrote the
             record.
         born: When it started, in milliseconds since the epoch; 0 if unknown.
+        sequence: Counts the changes of its entry since its start.
     """
 
     name: str
@@ -362,6 +363,7 @@
     draining: bool
     cold_seconds: float
     born: int
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -376,6 +378,9 @@
         state: The reported state: ``active``, ``complete`` or ``reverted``;
             '' if none was reported yet.
         revision: The revision of the stored order, for conditional updates.
+        created: The revision at which the order was created.
+        reported: Whether the store has the state; not so if the state was
+            reported, but the store was restored from an earlier copy.
     """
 
     service: str
@@ -384,6 +389,8 @@
     identity: str
     state: str
     revision: int
+    created: int = 0
+    reported: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/pimentoway/ops/restoration.py
@@ -0,0 +1,313 @@
+"""Reconciles known records with a store that was restored from a copy.
+
+The store no longer has what was written after the copy. The operator and the
+back ends write their records again; until then the copy is older than what a
+node knows. What the nodes themselves wrote, they have to write again.
+"""
+
+import collections
+import dataclasses
+import math
+import types
+
+from pimentoway.core import clock, deployment, log, registry
+
+#: Seconds for which a back end is kept whose entry expired while the store was
+#: failing: a running back end writes its entry again within two seconds of
+#: the store's return. A restored store may lack other records, too, until the
+#: operator and the nodes have written them again.
+GRACE_SECONDS = 2.0
+
+#: Seconds after which an entry of a removed back end that the copy still holds
+#: shows that the back end is running: otherwise its entry would have lapsed.
+LAPSE_SECONDS = 6.0
+
+#: Seconds for which removed records are remembered, and how many of a kind; a
+#: copy is some seconds old.
+REMOVED_SECONDS = 120.0
+MAX_REMOVED = 1000
+
+#: The kinds whose removed records are remembered.
+REMEMBERED_KINDS = (
+    registry.Kind.engines,
+    registry.Kind.rollouts,
+    registry.Kind.part_blocks,
+)
+
+#: The order of the states of a rollout.
+_STATE_ORDER = types.MappingProxyType(
+    {'': 0, 'active': 1, 'complete': 2, 'reverted': 2}
+)
+
+_LOG = log.Log('view')
+
+
+@dataclasses.dataclass(frozen=True)
+class _Held:
+    since: float
+    until: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Removed:
+    record: registry.Record
+    removed_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Doubted:
+    engine: deployment.Engine
+    until: float
+
+
+class RetainedRecords:
+    """What a node keeps of records that the store doesn't have.
+
+    These are the records that it lost, until they are written again, and the
+    knowledge of removed ones, copies of which may come back.
+
+    Attributes:
+        outdated_blocks: The blocks of parts of prompts, by the name of their
+            record, which were removed but are in the restored store again.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing retained."""
+        self.outdated_blocks: dict[str, deployment.PartBlock] = {}
+        self._held_by_key: dict[tuple[registry.Kind, str], _Held] = {}
+        self._removed_by_kind: dict[
+            registry.Kind, collections.OrderedDict[str, _Removed]
+        ] = {kind: collections.OrderedDict() for kind in REMEMBERED_KINDS}
+        self._doubted_by_name: dict[str, _Doubted] = {}
+
+    def hold(
+        self, kind: registry.Kind, names: collections.abc.Iterable[str]
+    ) -> None:
+        """Keep records that the store lost until they are written again.
+
+        Args:
+            kind: The kind of the records. Blocks of parts of prompts are kept
+                for any time, as only the nodes can write them; others for
+                ``GRACE_SECONDS``.
+            names: The names of the records.
+        """
+        now = clock.read_monotonic()
+        until = now + GRACE_SECONDS
+        if kind is registry.Kind.part_blocks:
+            until = math.inf
+        for name in names:
+            self._held_by_key.setdefault((kind, name), _Held(now, until))
+
+    def list_held(self, kind: registry.Kind, seconds: float = 0) -> list[str]:
+        """List the records of a kind that the store doesn't have.
+
+        Args:
+            kind: The kind.
+            seconds: For how long at least it must have lacked them.
+
+        Returns:
+            The names of the records.
+        """
+        latest = clock.read_monotonic() - seconds
+        return [
+            name
+            for (held_kind, name), held in self._held_by_key.items()
+            if held_kind is kind and held.since <= latest
+        ]
+
+    def take_overdue(self) -> list[tuple[registry.Kind, str]]:
+        """Take the held records that nobody has written again in time.
+
+        Returns:
+            The kind and the name of each.
+        """
+        now = clock.read_monotonic()
+        overdue = [
+            key for key, held in self._held_by_key.items() if held.until <= now
+        ]
+        for key in overdue:
+            self._held_by_key.pop(key)
+        return overdue
+
+    def note_removed(
+        self, kind: registry.Kind, name: str, record: registry.Record | None
+    ) -> None:
+        """Remember a record that is removed.
+
+        Args:
+            kind: The kind of the record.
+            name: The name of the record.
+            record: The record as it was known; None if it was not.
+        """
+        self.note_written(kind, name)
+        removed = self._removed_by_kind.get(kind)
+        if removed is None or record is None:
+            return
+        removed.pop(name, None)
+        removed[name] = _Removed(record, clock.read_monotonic())
+        if len(removed) > MAX_REMOVED:
+            removed.popitem(last=False)
+
+    def note_written(self, kind: registry.Kind, name: str) -> None:
+        """Note that the store has reported a change of a record.
+
+        Args:
+            kind: The kind of the record.
+            name: The name of the record.
+        """
+        self._held_by_key.pop((kind, name), None)
+        if kind is registry.Kind.engines:
+            self._doubted_by_name.pop(name, None)
+        elif kind is registry.Kind.part_blocks:
+            self.outdated_blocks.pop(name, None)
+
+    def reconcile(
+        self,
+        kind: registry.Kind,
+        known_by_name: dict[str, registry.Record],
+        listed_by_name: dict[str, registry.Record],
+    ) -> tuple[registry.Change, ...]:
+        """Compare what is known with the listing of a restored store.
+
+        Records that the store lacks are held. Copies of records that were
+        changed or removed since are ignored, as far as that can be told.
+
+        Args:
+            kind: The kind of the records.
+            known_by_name: The known records.
+            listed_by_name: The records of the restored store.
+
+        Returns:
+            The changes to apply to the known records.
+        """
+        missing = [name for name in known_by_name if name not in listed_by_name]
+        if kind is not registry.Kind.configuration:
+            self.hold(kind, missing)
+        changes = []
+        for name, listed in listed_by_name.items():
+            known = known_by_name.get(name)
+            holding = self._choose(kind, name, known, listed)
+            if known != holding:
+                changes.append(registry.Change(name, holding))
+        _LOG.write(
+            'the store was restored from a copy.',
+            kind=kind.value,
+            missing=missing,
+            changed=[change.name for change in changes],
+        )
+        return tuple(changes)
+
+    def recognize(
+        self,
+        kind: registry.Kind,
+        change: registry.Change,
+        known: registry.Record | None,
+    ) -> registry.Record | None:
+        """Add to a changed record what is known of it from before.
+
+        Args:
+            kind: The kind of the record.
+            change: The change.
+            known: The record before the change; None if there was none.
+
+        Returns:
+            The record: an order for a rollout with its identity and state, any
+            other as it is.
+        """
+        order = change.record
+        if not isinstance(order, deployment.Rollout):
+            return order
+        return continue_rollout(
+            known or self._find_removed(kind, change.name), order
+        )
+
+    def take_running(self) -> list[deployment.Engine]:
+        """Take the back ends whose entries outlasted ``LAPSE_SECONDS``.
+
+        Returns:
+            Their entries.
+        """
+        now = clock.read_monotonic()
+        running = [
+            doubted.engine
+            for doubted in self._doubted_by_name.values()
+            if doubted.until <= now
+        ]
+        for engine in running:
+            self._doubted_by_name.pop(engine.name)
+        return running
+
+    def _find_removed(
+        self, kind: registry.Kind, name: str
+    ) -> registry.Record | None:
+        removed = self._removed_by_kind.get(kind, {}).get(name)
+        if removed is None:
+            return None
+        age = clock.read_monotonic() - removed.removed_at
+        return None if age > REMOVED_SECONDS else removed.record
+
+    def _choose(
+        self,
+        kind: registry.Kind,
+        name: str,
+        known: registry.Record | None,
+        listed: registry.Record,
+    ) -> registry.Record | None:
+        if isinstance(listed, deployment.Engine):
+            return self._choose_engine(known, listed)
+        if kind is registry.Kind.part_blocks and known is None:
+            if self._find_removed(kind, name) is not None:
+                self.outdated_blocks[name] = listed
+                return None
+        return listed
+
+    def _choose_engine(
+        self,
+        known: deployment.Engine | None,
+        listed: deployment.Engine,
+    ) -> deployment.Engine | None:
+        if known is not None:
+            return known if _is_older(listed, known) else listed
+        removed = self._find_removed(registry.Kind.engines, listed.name)
+        if removed is None or not _is_older(listed, removed, or_equal=True):
+            return listed
+        until = clock.read_monotonic() + LAPSE_SECONDS
+        self._doubted_by_name[listed.name] = _Doubted(listed, until)
+        return None
+
+
+def continue_rollout(
+    known: deployment.Rollout | None, order: deployment.Rollout
+) -> deployment.Rollout:
+    """Recognize an order that is known, although the store was restored.
+
+    Args:
+        known: The order that was last known for the service, if any.
+        order: The order as the store has it now.
+
+    Returns:
+        The order; if it is the known one, with its identity and with the
+        latest state that is known, even if the store no longer has it.
+    """
+    if known is None or known.version != order.version:
+        return order
+    known_era, _ = registry.split_revision(known.created)
+    era, _ = registry.split_revision(order.created)
+    if order.created != known.created and era <= known_era:
+        return order
+    ahead = _STATE_ORDER.get(known.state, 0) > _STATE_ORDER.get(order.state, 0)
+    return dataclasses.replace(
+        order,
+        identity=known.identity,
+        state=known.state if ahead else order.state,
+        reported=not ahead,
+    )
+
+
+def _is_older(
+    engine: deployment.Engine, known: deployment.Engine, or_equal: bool = False
+) -> bool:
+    # The count of writes starts anew with each start of a back end.
+    if engine.born != known.born:
+        return engine.born < known.born
+    return engine.sequence < known.sequence + or_equal
--- /dev/null
+++ b/pimentoway/ops/restoration_test.py
@@ -0,0 +1,260 @@
+"""Tests of what a node keeps when the store was restored from a copy."""
+
+import dataclasses
+
+import gevent
+import pytest
+
+from pimentoway.core import deployment, nodesetting, registry
+from pimentoway.ops import (
+    partledger,
+    restoration,
+    rewriter,
+    rolloutprogress,
+    view,
+    view_test,
+)
+from pimentoway.standin import paused_loop
+
+Kind = registry.Kind
+
+OUT = 'out'
+BLOCK = deployment.PartBlock('s', 0xAB, 600)
+ORDER = deployment.Rollout('s', 'v2', 30, '5/v2', 'active', 7, 5)
+
+
+def write(
+    node_view: view.View, era: int, number: int, kind: Kind, *records: object
+) -> None:
+    """Apply a listing of the store.
+
+    Args:
+        node_view: The view.
+        era: The era of the store.
+        number: The store's own revision.
+        kind: The kind of the records.
+        *records: The records; an evacuation is its name.
+    """
+    revision = registry.join_revision(era, number)
+    records_by_name = {
+        getattr(record, 'service', record)
+        if kind is Kind.rollouts
+        else getattr(record, 'name', record): record
+        for record in records
+    }
+    node_view.apply_snapshot(
+        view.Snapshot(kind, revision, records_by_name), 'store list'
+    )
+
+
+def change(
+    node_view: view.View, era: int, number: int, kind: Kind, *change: object
+) -> None:
+    """Apply a change that a watch reports.
+
+    Args:
+        node_view: The view.
+        era: The era of the store.
+        number: The store's own revision.
+        kind: The kind of the record.
+        *change: The name and the record; None if it was removed.
+    """
+    revision = registry.join_revision(era, number)
+    node_view.apply_changes(
+        kind,
+        registry.Changes(revision, (registry.Change(*change),)),
+        'store watch',
+    )
+
+
+def wait_and_expire(node_view: view.View, seconds: float) -> None:
+    """Let time pass, and remove what nobody has written again.
+
+    Args:
+        node_view: The view.
+        seconds: The time.
+    """
+    paused_loop.advance(seconds)
+    node_view.expire()
+
+
+# Guards against requests to a failure domain that is evacuated, and against
+# back ends and nodes that are forgotten, as their records came after the copy.
+@pytest.mark.parametrize(
+    ('kind', 'record'),
+    [
+        (Kind.engines, view_test.make_engine('a')),
+        (Kind.evacuations, OUT),
+        (Kind.peers, deployment.Peer('n', 'z', '1.1.1.1:1', 1)),
+        (Kind.rollouts, ORDER),
+    ],
+)
+def test_lost_record_is_kept_for_a_while(kind: Kind, record: object) -> None:
+    """It is gone if nobody writes it again, and stays otherwise."""
+    node_view = view.View()
+    write(node_view, 1, 50, kind, record)
+    kept = node_view.make_snapshot(kind).records_by_name
+    write(node_view, 2, 40, kind)
+    assert node_view.make_snapshot(kind).records_by_name == kept
+    wait_and_expire(node_view, restoration.GRACE_SECONDS + 0.1)
+    assert not node_view.make_snapshot(kind).records_by_name
+    write(node_view, 2, 41, kind, record)
+    write(node_view, 3, 30, kind)
+    change(node_view, 3, 31, kind, next(iter(kept)), record)
+    wait_and_expire(node_view, restoration.GRACE_SECONDS + 0.1)
+    assert set(node_view.make_snapshot(kind).records_by_name) == set(kept)
+
+
+# Guards against requests to a back end that leaves: the copy is from before
+# its notice.
+def test_copy_does_not_undo_a_notice() -> None:
+    """The back end stays as it is known until it writes its entry again."""
+    node_view = view.View()
+    leaving = view_test.make_engine('a', draining=True, sequence=4)
+    ready = view_test.make_engine('a', sequence=3)
+    write(node_view, 1, 50, Kind.engines, leaving)
+    write(node_view, 2, 40, Kind.engines, ready)
+    assert node_view.engines_by_name['a'].draining
+    started = dataclasses.replace(ready, born=2, sequence=1)
+    change(node_view, 2, 41, Kind.engines, 'a', started)
+    assert not node_view.engines_by_name['a'].draining
+
+
+# Guards against requests to a back end that has gone: the copy still holds its
+# entry, until that lapses.
+@pytest.mark.parametrize('runs', [True, False])
+def test_copy_does_not_bring_back_a_gone_engine(runs: bool) -> None:
+    """It is used again only if its entry outlasts that of a stopped one."""
+    node_view = view.View()
+    write(node_view, 1, 50, Kind.engines, view_test.make_engine('a'))
+    change(node_view, 1, 51, Kind.engines, 'a', None)
+    write(node_view, 2, 40, Kind.engines, view_test.make_engine('a'))
+    assert not node_view.engines_by_name
+    if not runs:
+        change(node_view, 2, 41, Kind.engines, 'a', None)
+    wait_and_expire(node_view, restoration.LAPSE_SECONDS + 0.1)
+    assert bool(node_view.engines_by_name) == runs
+
+
+def test_gone_engine_that_writes_is_used_at_once() -> None:
+    """A later start, and a further write, show that it is running."""
+    node_view = view.View()
+    write(node_view, 1, 50, Kind.engines, view_test.make_engine('a'))
+    change(node_view, 1, 51, Kind.engines, 'a', None)
+    started = view_test.make_engine('a', born=2)
+    write(node_view, 2, 40, Kind.engines, started)
+    assert node_view.engines_by_name == {'a': started}
+
+
+# Guards against a bad version that gets requests again, and a rollout that
+# starts anew, after its reported state was lost with the store.
+@pytest.mark.parametrize('listed', [True, False])
+def test_lost_rollout_state_is_reported_again(listed: bool) -> None:
+    """The order keeps its identity, and its version stays reverted."""
+    node_view = view.View()
+    table = rolloutprogress.RolloutTable(nodesetting.Bounds(), node_view)
+    write(node_view, 1, 50, Kind.rollouts, _date(ORDER, 1))
+    table.update()
+    progress = table._progress_by_service['s']
+    progress.found_bad = True
+    reverted = dataclasses.replace(_date(ORDER, 1), state='reverted')
+    change(node_view, 1, 51, Kind.rollouts, 's', reverted)
+    table.update()
+    assert table.decide('s', 0) is None
+    lost = dataclasses.replace(_date(ORDER, 2), state='', identity='x')
+    if listed:
+        write(node_view, 2, 40, Kind.rollouts, lost)
+    else:
+        write(node_view, 2, 40, Kind.rollouts)
+        wait_and_expire(node_view, restoration.GRACE_SECONDS + 0.1)
+        table.update()
+        change(node_view, 2, 41, Kind.rollouts, 's', lost)
+    table.update()
+    assert table.decide('s', 0) == (progress, rolloutprogress.State.reverted)
+    assert progress.order.identity == ORDER.identity
+    stored = dataclasses.replace(lost, state='reverted')
+    change(node_view, 2, 42, Kind.rollouts, 's', stored)
+    table.update()
+    assert table.decide('s', 0) is None
+    assert table._progress_by_service['s'] is progress
+
+
+def _date(order: deployment.Rollout, era: int) -> deployment.Rollout:
+    return dataclasses.replace(
+        order, created=registry.join_revision(era, order.created)
+    )
+
+
+def test_new_order_starts_anew() -> None:
+    """An order created later in the same era is another one."""
+    known = _date(ORDER, 2)
+    later = dataclasses.replace(known, created=known.created + 1, identity='x')
+    assert restoration.continue_rollout(known, later) is later
+
+
+class WritesRegistry(view_test.ScriptedRegistry):
+    """A registry that records what is written."""
+
+    def put_part_block(self, block: deployment.PartBlock) -> None:
+        """Record a block.
+
+        Args:
+            block: The block.
+        """
+        self.calls.append(f'put {block.name}')
+
+    def remove_part_block(self, block: deployment.PartBlock) -> None:
+        """Record the removal of a block.
+
+        Args:
+            block: The block.
+        """
+        self.calls.append(f'remove {block.name}')
+
+    def report_rollout(self, rollout: deployment.Rollout, state: str) -> None:
+        """Record a state.
+
+        Args:
+            rollout: The order.
+            state: Its state.
+        """
+        self.calls.append(f'report {state}')
+
+
+# Guards against a prompt part that crashes back ends again, and one that is
+# refused again, after their block or its end was lost with the store.
+@pytest.mark.parametrize('leads', [True, False])
+def test_blocks_are_written_as_they_were(leads: bool) -> None:
+    """The leader writes at once, another node only if the leader doesn't."""
+    node_view = view.View()
+    ledger = partledger.PartLedger()
+    ended = dataclasses.replace(BLOCK, part=0xCD)
+    write(node_view, 1, 50, Kind.part_blocks, BLOCK, ended)
+    change(node_view, 1, 51, Kind.part_blocks, ended.name, None)
+    write(node_view, 2, 40, Kind.part_blocks, ended)
+    ledger.adopt(node_view.part_blocks_by_name.values())
+    assert ledger.is_blocked([(BLOCK.service, BLOCK.part)])
+    assert not ledger.is_blocked([(ended.service, ended.part)])
+    source = WritesRegistry()
+    task = gevent.spawn(rewriter.Rewriter(source, node_view, lambda: leads).run)
+    paused_loop.advance(rewriter.MIN_FOLLOWER_SECONDS - 0.1)
+    written = [f'put {BLOCK.name}', f'remove {ended.name}']
+    assert source.calls == written * leads
+    paused_loop.advance(rewriter.MAX_FOLLOWER_SECONDS)
+    task.kill()
+    assert source.calls == written[: 1 + leads]
+
+
+# Guards against a bad version whose node in charge started after the store was
+# restored and does not know that it was taken back.
+def test_lost_state_is_reported_by_another_node() -> None:
+    """A node that knows the state reports it if the leader does not."""
+    node_view = view.View()
+    reverted = dataclasses.replace(_date(ORDER, 1), state='reverted')
+    write(node_view, 1, 50, Kind.rollouts, reverted)
+    write(node_view, 2, 40, Kind.rollouts, _date(ORDER, 2))
+    source = WritesRegistry()
+    task = gevent.spawn(rewriter.Rewriter(source, node_view, bool).run)
+    paused_loop.advance(rewriter.MAX_FOLLOWER_SECONDS + 1)
+    task.kill()
+    assert set(source.calls) == {'report reverted'}
--- /dev/null
+++ b/pimentoway/ops/rewriter.py
@@ -0,0 +1,104 @@
+"""Writes again what this system had written to a store that was restored.
+
+One node does so at once: the one whose broker most nodes use. The others do it
+later, each at another moment, if that node doesn't know what was lost.
+"""
+
+import collections
+import dataclasses
+import random
+
+import gevent
+
+from pimentoway.core import clock, deployment, error, log, registry
+from pimentoway.ops import view
+
+#: Seconds between two checks for lost records, and the pause after a call to
+#: the store that failed.
+CHECK_SECONDS = 0.2
+RETRY_SECONDS = 0.5
+
+#: The range of seconds for which other nodes wait for the leader.
+MIN_FOLLOWER_SECONDS = 2.0
+MAX_FOLLOWER_SECONDS = 6.0
+
+_LOG = log.Log('rewrite')
+
+
+class Rewriter:
+    """Keeps what the nodes have written in the store."""
+
+    def __init__(
+        self,
+        source: registry.Registry,
+        registry_view: view.View,
+        is_leader: collections.abc.Callable[[], bool],
+    ) -> None:
+        """Set up the task; ``run`` starts it.
+
+        Args:
+            source: The registry in the store.
+            registry_view: The records as this node knows them.
+            is_leader: Tells whether this node writes before the others do.
+        """
+        self._source = source
+        self._view = registry_view
+        self._is_leader = is_leader
+        self._follower_seconds = random.uniform(
+            MIN_FOLLOWER_SECONDS, MAX_FOLLOWER_SECONDS
+        )
+        self._unreported_since: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Write lost records again, for ever."""
+        while True:
+            gevent.sleep(CHECK_SECONDS)
+            leads = self._is_leader()
+            try:
+                self._rewrite_blocks(0 if leads else self._follower_seconds)
+                if leads:
+                    self._remove_blocks()
+                else:
+                    self._report_states()
+            except error.PlatformError as fault:
+                _LOG.write(
+                    'writing a lost record again failed, trying again.',
+                    reason=str(fault),
+                )
+                gevent.sleep(RETRY_SECONDS)
+
+    def _rewrite_blocks(self, seconds: float) -> None:
+        kind = registry.Kind.part_blocks
+        for name in self._view.retained.list_held(kind, seconds):
+            block = self._view.part_blocks_by_name[name]
+            self._source.put_part_block(block)
+            self._view.retained.note_written(kind, name)
+            _LOG.write('wrote a lost block of a part again.', part=name)
+
+    def _remove_blocks(self) -> None:
+        outdated = self._view.retained.outdated_blocks
+        for name, block in list(outdated.items()):
+            self._source.remove_part_block(block)
+            outdated.pop(name, None)
+            _LOG.write('removed a block again that had ended.', part=name)
+
+    def _report_states(self) -> None:
+        # The leader reports the states of all rollouts that it knows.
+        orders = self._view.rollouts_by_service
+        now = clock.read_monotonic()
+        self._unreported_since = {
+            service: self._unreported_since.get(service, now)
+            for service, order in orders.items()
+            if not order.reported
+        }
+        for service, since in self._unreported_since.items():
+            if now - since >= self._follower_seconds:
+                self._report_state(orders[service])
+
+    def _report_state(self, order: deployment.Rollout) -> None:
+        self._unreported_since[order.service] = clock.read_monotonic()
+        self._source.report_rollout(order, order.state)
+        _LOG.write(
+            'reported the state of a rollout again.',
+            **dataclasses.asdict(order),
+        )
--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -203,20 +203,26 @@
         self._bounds = bounds
         self._view = registry_view
         self._progress_by_service: dict[str, RolloutProgress] = {}
+        self._past_by_service: dict[str, RolloutProgress] = {}
         self._versions_by_service: dict[str, set[str]] = {}
 
     def update(self) -> None:
         """Apply a change of the registry view.
 
-        A new order for a service starts from the beginning.
+        A new order for a service starts from the beginning. An order that is
+        gone may come back, if the store was restored from a copy.
         """
         orders = self._view.rollouts_by_service
         for service in set(self._progress_by_service).difference(orders):
-            self._progress_by_service.pop(service)
+            past = self._progress_by_service.pop(service)
+            self._past_by_service[service] = past
         for service, order in orders.items():
-            rollout = self._progress_by_service.get(service)
+            rollout = self._progress_by_service.get(
+                service, self._past_by_service.pop(service, None)
+            )
             if rollout and rollout.order.identity == order.identity:
                 rollout.order = order
+                self._progress_by_service[service] = rollout
             else:
                 self._progress_by_service[service] = RolloutProgress(
                     order,
@@ -336,15 +342,19 @@
         rollout = self._progress_by_service.get(service)
         if rollout is None:
             return None
-        state = rollout.order.state
-        if state in {State.complete.value, State.reverted.value}:
+        order = rollout.order
+        if order.state in {State.complete.value, State.reverted.value}:
+            state = State(order.state)
+        elif rollout.found_bad:
+            state = State.reverted
+        else:
+            self._raise_share(rollout)
+            state = State.active
+            if self._is_complete(rollout, old_running):
+                state = State.complete
+        if order.state == state.value and order.reported:
             return None
-        if rollout.found_bad:
-            return rollout, State.reverted
-        self._raise_share(rollout)
-        if self._is_complete(rollout, old_running):
-            return rollout, State.complete
-        return None if state else (rollout, State.active)
+        return rollout, state
 
     def list_services(self) -> list[str]:
         """List the services that have a rollout.
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -5,11 +5,7 @@
 import types
 
 from pimentoway.core import clock, deployment, log, registry
-
-#: Seconds for which a back end is kept whose entry expired while the store was
-#: failing: a running back end writes its entry again within two seconds of
-#: the store's return.
-EXPIRY_GRACE_SECONDS = 2.0
+from pimentoway.ops import restoration
 
 #: Seconds after a failed call to the store in which entries may expire
 #: although their back ends are running.
@@ -54,6 +50,7 @@
         deployment: The configuration in force, or nothing yet.
         revision_by_kind: The revision of the store at which the records of
             each kind are current; 0 if none were received yet.
+        retained: What is kept although the store doesn't have it.
     """
 
     def __init__(self) -> None:
@@ -63,7 +60,7 @@
         self._records_by_kind: dict[registry.Kind, dict] = {
             kind: {} for kind in registry.Kind
         }
-        self._expiry_by_name: dict[str, float] = {}
+        self.retained = restoration.RetainedRecords()
         self._history_by_kind: dict[registry.Kind, collections.deque] = {
             kind: collections.deque(maxlen=KEPT_CHANGES)
             for kind in registry.Kind
@@ -178,19 +175,14 @@
         if not is_newer and not self._has_newer_version(snapshot):
             return False
         known = self._records_by_kind[kind]
-        removed = [
-            name for name in known if name not in snapshot.records_by_name
-        ]
-        changes = [registry.Change(name, None) for name in removed]
-        changes.extend(
-            registry.Change(name, record)
-            for name, record in snapshot.records_by_name.items()
-            if known.get(name) != record
-        )
+        if self._is_restored(snapshot):
+            changes = self.retained.reconcile(
+                kind, known, snapshot.records_by_name
+            )
+        else:
+            changes = _compare(known, snapshot.records_by_name)
         self.apply_changes(
-            kind,
-            registry.Changes(snapshot.revision, tuple(changes)),
-            source,
+            kind, registry.Changes(snapshot.revision, changes), source
         )
         return True
 
@@ -271,23 +263,32 @@
             self._notify(kind)
 
     def expire(self) -> None:
-        """Remove back ends whose expired entries were not written again."""
-        now = clock.read_monotonic()
-        overdue = [
-            name
-            for name, expiry in self._expiry_by_name.items()
-            if expiry <= now
-        ]
-        for name in overdue:
-            self._expiry_by_name.pop(name)
-            self._records_by_kind[registry.Kind.engines].pop(name, None)
+        """Remove records that the store lost and nobody has written again.
+
+        A back end whose entry outlasted its removal counts as running again.
+        """
+        changed = set()
+        for kind, name in self.retained.take_overdue():
+            self._drop(kind, name)
+            changed.add(kind)
             _LOG.write(
-                'back end removed, its entry was not renewed.',
-                engine=name,
+                'record removed, it was not renewed.',
+                kind=kind.value,
+                name=name,
                 after='lapse',
             )
-        if overdue:
-            self._notify(registry.Kind.engines)
+        for engine in self.retained.take_running():
+            changed.add(registry.Kind.engines)
+            change = registry.Change(engine.name, engine)
+            self._apply(registry.Kind.engines, change, 'running')
+        for changed_kind in changed:
+            self._notify(changed_kind)
+
+    def _is_restored(self, snapshot: Snapshot) -> bool:
+        known = self.revision_by_kind[snapshot.kind]
+        era, _ = registry.split_revision(snapshot.revision)
+        known_era, _ = registry.split_revision(known)
+        return 0 < known and known_era < era
 
     def _has_newer_version(self, snapshot: Snapshot) -> bool:
         return any(
@@ -302,17 +303,19 @@
         if isinstance(change.record, deployment.Deployment):
             self._apply_configuration(change.record, source)
             return
-        if change.record is None:
+        known = self._records_by_kind[kind].get(change.name)
+        record = self.retained.recognize(kind, change, known)
+        if record is None:
             self._remove(kind, change.name)
         else:
-            self._records_by_kind[kind][change.name] = change.record
-            self._expiry_by_name.pop(change.name, None)
+            self._records_by_kind[kind][change.name] = record
+            self.retained.note_written(kind, change.name)
         if kind in LOGGED_KINDS:
             _LOG.write(
                 'record changed.',
                 kind=kind.value,
                 name=change.name,
-                record=str(change.record),
+                record=str(record),
                 revision=self.revision_by_kind[kind],
                 source=source,
             )
@@ -322,10 +325,13 @@
             # Some configuration is always in force.
             return
         if kind is registry.Kind.engines and self._may_be_running(name):
-            expiry = clock.read_monotonic() + EXPIRY_GRACE_SECONDS
-            self._expiry_by_name.setdefault(name, expiry)
+            self.retained.hold(kind, [name])
         else:
-            self._records_by_kind[kind].pop(name, None)
+            self._drop(kind, name)
+
+    def _drop(self, kind: registry.Kind, name: str) -> None:
+        record = self._records_by_kind[kind].pop(name, None)
+        self.retained.note_removed(kind, name, record)
 
     def _may_be_running(self, name: str) -> bool:
         engine = self._records_by_kind[registry.Kind.engines].get(name)
@@ -363,3 +369,20 @@
     def _notify(self, kind: registry.Kind) -> None:
         for callback in self._callbacks:
             callback(kind)
+
+
+def _compare(
+    known_by_name: dict[str, registry.Record],
+    listed_by_name: dict[str, registry.Record],
+) -> tuple[registry.Change, ...]:
+    changes = [
+        registry.Change(name, None)
+        for name in known_by_name
+        if name not in listed_by_name
+    ]
+    changes.extend(
+        registry.Change(name, listed)
+        for name, listed in listed_by_name.items()
+        if known_by_name.get(name) != listed
+    )
+    return tuple(changes)
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -6,7 +6,7 @@
 from gevent import event as gevent_event
 
 from pimentoway.core import deployment, error, registry
-from pimentoway.ops import registrywatcher, view
+from pimentoway.ops import registrywatcher, restoration, view
 from pimentoway.standin import paused_loop
 
 Kind = registry.Kind
@@ -129,7 +129,7 @@
     change(registry_view, 8, Kind.engines, 'b', None)
     assert set(registry_view.engines_by_name) == {'a', 'b'}
     change(registry_view, 9, Kind.engines, 'a', make_engine('a'))
-    paused_loop.advance(view.EXPIRY_GRACE_SECONDS + 0.1)
+    paused_loop.advance(restoration.GRACE_SECONDS + 0.1)
     registry_view.expire()
     assert set(registry_view.engines_by_name) == {'a'}
 
--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -286,6 +286,7 @@
         draining=_look_up(DRAINING_BY_STATE, raw.state),
         cold_seconds=raw.cold_remaining_ms / MILLISECONDS,
         born=raw.born or 0,
+        sequence=raw.sequence,
     )
 
 
@@ -301,6 +302,7 @@
         identity=f'{stored.metadata.created}/{raw.target}',
         state=status.state if is_current else '',
         revision=stored.metadata.revision,
+        created=stored.metadata.created,
     )
 
 
--- a/pimentoway/platform/record_test.py
+++ b/pimentoway/platform/record_test.py
@@ -75,7 +75,7 @@
     """Milliseconds become seconds, and `State` becomes `draining`."""
     engine = decode(registry.Kind.engines, SERVER)
     assert engine == deployment.Engine(
-        'n', 's', '1.2.3.4:80', 'z', 'v1', 6, False, 1.5, 1785705391051
+        'n', 's', '1.2.3.4:80', 'z', 'v1', 6, False, 1.5, 1785705391051, 4
     )
     draining = decode(registry.Kind.engines, {**SERVER, 'State': 'draining'})
     assert draining.draining
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -24,7 +24,14 @@
     task,
 )
 from pimentoway.nodes import election, frame, link
-from pimentoway.ops import broker, registrywatcher, slot, slotclient, view
+from pimentoway.ops import (
+    broker,
+    registrywatcher,
+    rewriter,
+    slot,
+    slotclient,
+    view,
+)
 
 #: Seconds between two ticks of the broker: a quarter of the shortest latency
 #: target that the users require.
@@ -144,6 +151,9 @@
             self.view,
             self._election.should_watch_store,
         )
+        self._rewriter = rewriter.Rewriter(
+            platform.registry, self.view, self._is_leader
+        )
         self._channels = channel.ChannelPool(platform.dialect)
         self._forwarder = forward.Forwarder(
             settings.zone,
@@ -176,6 +186,7 @@
             self._run_sweeps,
             self._run_rollouts,
             self._run_part_blocks,
+            self._rewriter.run,
         ):
             task.keep_running(function)
         self._caller_server = _serve_stream(
@@ -392,9 +403,11 @@
             self.settings.cores,
         )
         while not self.leaving:
+            kind = registry.Kind.peers
             registered = self.view.peers_by_name.get(peer.name)
-            has_listing = self.view.revision_by_kind[registry.Kind.peers]
-            if registered != peer and has_listing:
+            if peer.name in self.view.retained.list_held(kind):
+                registered = None
+            if registered != peer and self.view.revision_by_kind[kind]:
                 self._try_register(peer)
             gevent.sleep(REGISTER_SECONDS)
 
