Pause between listings if a watch expires again at once

The first listing after an expired watch still comes at once, the next ones after the pause of failed calls.

--- a/pimentoway/ops/registrywatcher.py
+++ b/pimentoway/ops/registrywatcher.py
@@ -66,27 +66,34 @@
         """
         pause = RETRY_SECONDS
         listed = False
+        expired = False
         while True:
             if not self._should_watch_store():
                 # Records from other nodes are newer than the last listing.
                 listed = self._view.revision_by_kind[kind] > 0
                 gevent.sleep(CHECK_SECONDS)
                 continue
+            watches = listed
             try:
                 listed = self._fetch(kind, listed)
-            except error.WatchExpiredError as fault:
+            except error.WatchExpiredError as lost:
                 _LOG.write(
                     'watch expired, lists all records again.',
                     kind=kind.value,
-                    reason=str(fault),
+                    reason=str(lost),
                 )
                 listed = False
+                # Listing did not help the last time, so it can't be urgent.
+                pause = _wait(pause) if expired else pause
+                expired = True
+                continue
             except error.PlatformError as fault:
                 self._note_failure(kind, fault)
-                gevent.sleep(random.uniform(pause / 2, pause))
-                pause = min(MAX_RETRY_SECONDS, pause * 2)
+                pause = _wait(pause)
                 continue
-            pause = RETRY_SECONDS
+            if watches:
+                pause = RETRY_SECONDS
+                expired = False
             self._note_success(kind)
 
     def _fetch(self, kind: registry.Kind, listed: bool) -> bool:
@@ -129,3 +136,9 @@
                 revision=self._view.revision_by_kind[kind],
                 time=round(clock.read_monotonic(), 3),
             )
+
+
+def _wait(pause: float) -> float:
+    # Returns the next pause.
+    gevent.sleep(random.uniform(pause / 2, pause))
+    return min(MAX_RETRY_SECONDS, pause * 2)
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -342,6 +342,19 @@
     assert set(registry_view.engines_by_name) == {'b'}
 
 
+# Guards against thousands of calls to a store whose listings don't help.
+def test_watches_that_expire_again_are_delayed() -> None:
+    """Only the first listing after an expired watch comes at once."""
+    answers = (
+        registry.Listing(5, {}),
+        error.WatchExpiredError('gone', 'watch'),
+    )
+    _, source = watch_for_ten_seconds(*answers * 1000)
+    assert source.calls[:4] == ['list', 'watch 5', 'list', 'watch 5']
+    per_second = 2 / (registrywatcher.MAX_RETRY_SECONDS / 2)
+    assert len(source.calls) < 10 * per_second + 10
+
+
 def test_failed_watch_retries_from_its_revision() -> None:
     """An outage of the store removes no records."""
     registry_view, source = watch_for_ten_seconds(
