--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -6,7 +6,7 @@
 from gevent import event as gevent_event
 
 from pimentoway.core import deployment, error, registry
-from pimentoway.ops import registrywatcher, view
+from pimentoway.ops import registrywatcher, restoration, view
 from pimentoway.standin import paused_loop
 
 Kind = registry.Kind
@@ -98,6 +98,19 @@
     assert registry_view.revision_by_kind[Kind.engines] == 9
 
 
+# Guards against nodes that start without a configuration: the others, which
+# had listed it again, sent them none.
+def test_configuration_listed_again_is_passed_on() -> None:
+    """A listing with the known version leaves the configuration in place."""
+    registry_view = view.View()
+    records = {'main': make_deployment(7)}
+    for revision in (5, 6):
+        snapshot = view.Snapshot(Kind.configuration, revision, records)
+        registry_view.apply_snapshot(snapshot, 'store list')
+    passed_on = registry_view.make_snapshot(Kind.configuration)
+    assert list(passed_on.records_by_name.values()) == [make_deployment(7)]
+
+
 def test_removed_back_end_is_gone_at_once() -> None:
     """While the store works, a removal is not delayed."""
     registry_view = view.View()
@@ -116,7 +129,7 @@
     change(registry_view, 8, Kind.engines, 'b', None)
     assert set(registry_view.engines_by_name) == {'a', 'b'}
     change(registry_view, 9, Kind.engines, 'a', make_engine('a'))
-    paused_loop.advance(view.EXPIRY_GRACE_SECONDS + 0.1)
+    paused_loop.advance(restoration.GRACE_SECONDS + 0.1)
     registry_view.expire()
     assert set(registry_view.engines_by_name) == {'a'}
 
@@ -329,6 +342,19 @@
     assert set(registry_view.engines_by_name) == {'b'}
 
 
+# Guards against thousands of calls to a store whose listings don't help.
+def test_watches_that_expire_again_are_delayed() -> None:
+    """Only the first listing after an expired watch comes at once."""
+    answers = (
+        registry.Listing(5, {}),
+        error.WatchExpiredError('gone', 'watch'),
+    )
+    _, source = watch_for_ten_seconds(*answers * 1000)
+    assert source.calls[:4] == ['list', 'watch 5', 'list', 'watch 5']
+    per_second = 2 / (registrywatcher.MAX_RETRY_SECONDS / 2)
+    assert len(source.calls) < 10 * per_second + 10
+
+
 def test_failed_watch_retries_from_its_revision() -> None:
     """An outage of the store removes no records."""
     registry_view, source = watch_for_ten_seconds(
