--- a/pimentoway/ops/registrywatcher.py
+++ b/pimentoway/ops/registrywatcher.py
@@ -1,6 +1,7 @@
 """Watches the registry in the store: one task per kind of records."""
 
 import collections
+import dataclasses
 import random
 import types
 
@@ -32,6 +33,26 @@
 _LOG = log.Log('follow')
 
 
+@dataclasses.dataclass
+class _WatchState:
+    """How far the task for one kind of records has come.
+
+    Attributes:
+        listed: Whether the view has a listing, after which it can watch.
+        expired: Whether the last watch expired.
+        pause: Seconds of the next pause after a call that failed.
+    """
+
+    listed: bool = False
+    expired: bool = False
+    pause: float = RETRY_SECONDS
+
+    def wait(self) -> None:
+        """Pause, and let the next pause be longer."""
+        gevent.sleep(random.uniform(self.pause / 2, self.pause))
+        self.pause = min(MAX_RETRY_SECONDS, self.pause * 2)
+
+
 class RegistryWatcher:
     """Keeps a registry view in step with the store.
 
@@ -64,37 +85,39 @@
         Args:
             kind: The kind.
         """
-        pause = RETRY_SECONDS
-        listed = False
-        expired = False
+        state = _WatchState()
         while True:
-            if not self._should_watch_store():
+            if self._should_watch_store():
+                self._advance(kind, state)
+            else:
                 # Records from other nodes are newer than the last listing.
-                listed = self._view.revision_by_kind[kind] > 0
+                state.listed = self._view.revision_by_kind[kind] > 0
                 gevent.sleep(CHECK_SECONDS)
-                continue
-            watches = listed
-            try:
-                listed = self._fetch(kind, listed)
-            except error.WatchExpiredError as lost:
-                _LOG.write(
-                    'watch expired, lists all records again.',
-                    kind=kind.value,
-                    reason=str(lost),
-                )
-                listed = False
-                # Listing did not help the last time, so it can't be urgent.
-                pause = _wait(pause) if expired else pause
-                expired = True
-                continue
-            except error.PlatformError as fault:
-                self._note_failure(kind, fault)
-                pause = _wait(pause)
-                continue
-            if watches:
-                pause = RETRY_SECONDS
-                expired = False
-            self._note_success(kind)
+
+    def _advance(self, kind: registry.Kind, state: _WatchState) -> None:
+        watches = state.listed
+        try:
+            state.listed = self._fetch(kind, state.listed)
+        except error.WatchExpiredError as lost:
+            _LOG.write(
+                'watch expired, lists all records again.',
+                kind=kind.value,
+                reason=str(lost),
+            )
+            state.listed = False
+            if state.expired:
+                # The last listing did not help, so the next one can wait.
+                state.wait()
+            state.expired = True
+            return
+        except error.PlatformError as fault:
+            self._note_failure(kind, fault)
+            state.wait()
+            return
+        if watches:
+            state.pause = RETRY_SECONDS
+            state.expired = False
+        self._note_success(kind)
 
     def _fetch(self, kind: registry.Kind, listed: bool) -> bool:
         if not listed:
@@ -136,9 +159,3 @@
                 revision=self._view.revision_by_kind[kind],
                 time=round(clock.read_monotonic(), 3),
             )
-
-
-def _wait(pause: float) -> float:
-    # Returns the next pause.
-    gevent.sleep(random.uniform(pause / 2, pause))
-    return min(MAX_RETRY_SECONDS, pause * 2)
