Tell other nodes what a restored store lacks

A node that learned of a restoration from another node kept back ends for ever which the restored store lacks: the sender held them, so they were in none of the changes that it passed on, and their later removal has no revision.

--- a/pimentoway/ops/restoration.py
+++ b/pimentoway/ops/restoration.py
@@ -10,7 +10,7 @@
 import math
 import types
 
-from pimentoway.core import clock, deployment, log, registry
+from pimentoway.core import clock, deployment, registry
 
 #: Seconds for which a back end is kept whose entry expired while the store was
 #: failing: a running back end writes its entry again within two seconds of
@@ -34,13 +34,17 @@
     registry.Kind.part_blocks,
 )
 
+#: The kinds whose lost records are not kept for a while: some configuration is
+#: always in force, and blocks of parts of prompts are held without a limit.
+UNHELD_KINDS = frozenset(
+    (registry.Kind.configuration, registry.Kind.part_blocks)
+)
+
 #: The order of the states of a rollout.
 _STATE_ORDER = types.MappingProxyType(
     {'': 0, 'active': 1, 'complete': 2, 'reverted': 2}
 )
 
-_LOG = log.Log('view')
-
 
 @dataclasses.dataclass(frozen=True)
 class _Held:
@@ -87,7 +91,7 @@
 
         Args:
             kind: The kind of the records. Blocks of parts of prompts are kept
-                for any time, as only the nodes can write them; others for
+                without a limit, as only the nodes can write them; others for
                 ``GRACE_SECONDS``.
             names: The names of the records.
         """
@@ -115,6 +119,38 @@
             if held_kind is kind and held.since <= latest
         ]
 
+    def hold_removed(
+        self, kind: registry.Kind, changes: tuple[registry.Change, ...]
+    ) -> tuple[registry.Change, ...]:
+        """Hold the records that changes remove.
+
+        Args:
+            kind: The kind of the records.
+            changes: The changes.
+
+        Returns:
+            The other changes.
+        """
+        self.hold(
+            kind, [change.name for change in changes if change.record is None]
+        )
+        return tuple(change for change in changes if change.record is not None)
+
+    def list_expiring(self, kind: registry.Kind) -> set[str]:
+        """List the held records of a kind that will be removed.
+
+        Args:
+            kind: The kind.
+
+        Returns:
+            The names of the records.
+        """
+        return {
+            name
+            for (held_kind, name), held in self._held_by_key.items()
+            if held_kind is kind and held.until < math.inf
+        }
+
     def take_overdue(self) -> list[tuple[registry.Kind, str]]:
         """Take the held records that nobody has written again in time.
 
@@ -164,38 +200,32 @@
     def reconcile(
         self,
         kind: registry.Kind,
-        known_by_name: dict[str, registry.Record],
-        listed_by_name: dict[str, registry.Record],
-    ) -> tuple[registry.Change, ...]:
-        """Compare what is known with the listing of a restored store.
+        change: registry.Change,
+        known: registry.Record | None,
+    ) -> registry.Change | None:
+        """Reconcile a difference to the restored store with what is known.
 
-        Records that the store lacks are held. Copies of records that were
-        changed or removed since are ignored, as far as that can be told.
+        A record that the store lacks is held for a while. A copy of a record
+        that was changed or removed since is ignored, as far as that can be
+        told.
 
         Args:
-            kind: The kind of the records.
-            known_by_name: The known records.
-            listed_by_name: The records of the restored store.
+            kind: The kind of the record.
+            change: What the restored store has.
+            known: The record as it is known; None if there is none.
 
         Returns:
-            The changes to apply to the known records.
+            The change to apply; None if there is none to apply now.
         """
-        missing = [name for name in known_by_name if name not in listed_by_name]
-        if kind is not registry.Kind.configuration:
-            self.hold(kind, missing)
-        changes = []
-        for name, listed in listed_by_name.items():
-            known = known_by_name.get(name)
-            holding = self._choose(kind, name, known, listed)
-            if known != holding:
-                changes.append(registry.Change(name, holding))
-        _LOG.write(
-            'the store was restored from a copy.',
-            kind=kind.value,
-            missing=missing,
-            changed=[change.name for change in changes],
-        )
-        return tuple(changes)
+        if change.record is None:
+            if kind in UNHELD_KINDS:
+                return change
+            self.hold(kind, [change.name])
+            return None
+        chosen = self._choose(kind, change.name, known, change.record)
+        if chosen is None or chosen is known:
+            return None
+        return registry.Change(change.name, chosen)
 
     def recognize(
         self,
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -11,6 +11,10 @@
 #: although their back ends are running.
 STORE_FAILURE_SECONDS = 3.0
 
+#: Seconds after the latest answer of the store, or change from another node, in
+#: which this node knows what was in the store; a watch waits less long.
+CURRENT_SECONDS = 30.0
+
 #: The changes of each kind that are kept, so that nodes that are a little
 #: behind need no snapshot.
 KEPT_CHANGES = 64
@@ -61,6 +65,7 @@
             kind: {} for kind in registry.Kind
         }
         self.retained = restoration.RetainedRecords()
+        self._changed_at_by_kind = dict.fromkeys(registry.Kind, float('-inf'))
         self._history_by_kind: dict[registry.Kind, collections.deque] = {
             kind: collections.deque(maxlen=KEPT_CHANGES)
             for kind in registry.Kind
@@ -174,13 +179,12 @@
         is_newer = snapshot.revision > self.revision_by_kind[kind]
         if not is_newer and not self._has_newer_version(snapshot):
             return False
-        known = self._records_by_kind[kind]
-        if self._is_restored(snapshot):
-            changes = self.retained.reconcile(
-                kind, known, snapshot.records_by_name
-            )
-        else:
-            changes = _compare(known, snapshot.records_by_name)
+        changes = _compare(
+            self._records_by_kind[kind], snapshot.records_by_name
+        )
+        if kind is registry.Kind.part_blocks and self._is_current(kind):
+            if self._is_restored(kind, snapshot.revision):
+                changes = self.retained.hold_removed(kind, changes)
         self.apply_changes(
             kind, registry.Changes(snapshot.revision, changes), source
         )
@@ -193,9 +197,16 @@
             kind: The kind.
 
         Returns:
-            The records and their revision.
+            The records and their revision. Those that are kept for a while
+            although the store doesn't have them are left out, as no change
+            will tell that they were removed.
         """
-        records = dict(self._records_by_kind[kind])
+        expiring = self.retained.list_expiring(kind)
+        records = {
+            name: record
+            for name, record in self._records_by_kind[kind].items()
+            if name not in expiring
+        }
         return Snapshot(kind, self.revision_by_kind[kind], records)
 
     def find_configuration(self, version: int) -> deployment.Deployment | None:
@@ -256,9 +267,23 @@
             if changes.revision < before:
                 return
             self._history_by_kind[kind].append((before, changes))
+        restored = self._is_restored(kind, changes.revision)
         self.revision_by_kind[kind] = max(before, changes.revision)
+        self._changed_at_by_kind[kind] = clock.read_monotonic()
         for change in changes.changes:
-            self._apply(kind, change, source)
+            if restored:
+                self._reconcile(kind, change, source)
+            else:
+                self._apply(kind, change, source)
+        if restored:
+            _LOG.write(
+                'the store was restored from a copy.',
+                kind=kind.value,
+                revision=changes.revision,
+                known=before,
+                changed=[listed.name for listed in changes.changes],
+                missing=self.retained.list_held(kind),
+            )
         if changes.changes:
             self._notify(kind)
 
@@ -284,12 +309,24 @@
         for changed_kind in changed:
             self._notify(changed_kind)
 
-    def _is_restored(self, snapshot: Snapshot) -> bool:
-        known = self.revision_by_kind[snapshot.kind]
-        era, _ = registry.split_revision(snapshot.revision)
+    def _is_restored(self, kind: registry.Kind, revision: int) -> bool:
+        known = self.revision_by_kind[kind]
+        era, _ = registry.split_revision(revision)
         known_era, _ = registry.split_revision(known)
         return 0 < known and known_era < era
 
+    def _is_current(self, kind: registry.Kind) -> bool:
+        age = clock.read_monotonic() - self._changed_at_by_kind[kind]
+        return age < CURRENT_SECONDS
+
+    def _reconcile(
+        self, kind: registry.Kind, change: registry.Change, source: str
+    ) -> None:
+        known = self._records_by_kind[kind].get(change.name)
+        holding = self.retained.reconcile(kind, change, known)
+        if holding:
+            self._apply(kind, holding, source)
+
     def _has_newer_version(self, snapshot: Snapshot) -> bool:
         return any(
             isinstance(record, deployment.Deployment)
