--- a/pimentoway/platform/memory_store.py
+++ b/pimentoway/platform/memory_store.py
@@ -9,7 +9,7 @@
 import msgspec
 from gevent import event as gevent_event
 
-from pimentoway.core import registry, serving
+from pimentoway.core import clock, registry, serving
 from pimentoway.platform import store
 
 #: The most objects in one page of a listing.
@@ -49,6 +49,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Undo:
+    time: float
     revision: int
     kind: str
     name: str
@@ -117,6 +118,21 @@
         self._compacted_revision = self.revision
         self._history.clear()
 
+    def find_revision(self, seconds: float) -> int:
+        """Find the revision that the store had some time ago.
+
+        Args:
+            seconds: The time.
+
+        Returns:
+            The revision.
+        """
+        copied_at = clock.read_monotonic() - seconds
+        for undo in self._undo_log:
+            if undo.time > copied_at:
+                return undo.revision - 1
+        return self.revision
+
     def restore(self, revision: int) -> None:
         """Go back to an earlier state, as after a restart from a copy.
 
@@ -234,7 +250,9 @@
             if all(existing[key] == field for key, field in fields.items()):
                 return existing
         self.revision += 1
-        self._undo_log.append(_Undo(self.revision, kind, name, existing))
+        self._undo_log.append(
+            _Undo(clock.read_monotonic(), self.revision, kind, name, existing)
+        )
         created = existing['Metadata']['Created'] if existing else self.revision
         metadata = {
             'Name': name,
@@ -250,7 +268,11 @@
         existing = self._objects_by_kind[kind].pop(name, None)
         if existing:
             self.revision += 1
-            self._undo_log.append(_Undo(self.revision, kind, name, existing))
+            self._undo_log.append(
+                _Undo(
+                    clock.read_monotonic(), self.revision, kind, name, existing
+                )
+            )
             self._publish(kind, {'Object': existing, 'Removed': True})
 
     def _publish(self, kind: str, event: Json) -> None:
--- a/pimentoway/platform/soak_fixture.py
+++ b/pimentoway/platform/soak_fixture.py
@@ -177,7 +177,7 @@
 
     Args:
         store: The stand-in of the store.
-        engine: The engine; its start time also counts as the sequence.
+        engine: The engine.
     """
     spec = {
         'Service': engine.service,
@@ -187,7 +187,7 @@
         'Slots': engine.slots,
         'State': 'draining' if engine.draining else 'ready',
         'ColdRemainingMs': 0,
-        'Sequence': engine.born,
+        'Sequence': engine.sequence,
         'born': engine.born,
     }
     store.put(registry.Kind.engines, engine.name, spec)
--- a/pimentoway/soak/fault.py
+++ b/pimentoway/soak/fault.py
@@ -17,6 +17,13 @@
 #: heartbeat interval of an idle link between nodes.
 DELAY_SECONDS = 0.3
 
+#: The other faults for each restoration of the store; there is one at least.
+FAULTS_PER_RESTORATION = 25
+
+#: The age of the copy from which the store is restored, in seconds for each
+#: second of its absence.
+COPY_AGE_RATIO = 4
+
 #: Seconds for which an engine still serves after it announced that it leaves.
 DRAIN_SECONDS = 2.0
 
@@ -63,6 +70,10 @@
     """The store drops its history, so that watches must list anew."""
 
 
+class StoreRestored(Fault):
+    """The store is away and comes back from an older copy."""
+
+
 class ConfigurationChanged(Fault):
     """The configuration gets one more route."""
 
@@ -112,13 +123,18 @@
     Args:
         seed: The seed, which determines the plan.
         seconds: All faults start within this time.
-        count: The number of faults.
+        count: The number of faults, restorations of the store not included.
 
     Returns:
         The faults, ordered by their start.
     """
     generator = random.Random(seed)
     plan = [_draw_fault(generator, seconds) for _ in range(count)]
+    # Drawn last, so that the plans of earlier seeds keep their other faults.
+    for _ in range(1 + count // FAULTS_PER_RESTORATION):
+        start = generator.uniform(0, seconds)
+        away = generator.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS / 2)
+        plan.append(StoreRestored(start, away, 0))
     return sorted(plan, key=lambda planned: planned.start)
 
 
@@ -181,7 +197,13 @@
 
 
 @inject.register
-def _refuse_store_connections(fault: StoreAway, testbed: stage.Testbed) -> None:
+def _restore_store(fault: StoreRestored, testbed: stage.Testbed) -> None:
+    _refuse_store_connections(fault, testbed)
+    testbed.restore_store(fault.seconds * COPY_AGE_RATIO)
+
+
+@inject.register(StoreAway)
+def _refuse_store_connections(fault: Fault, testbed: stage.Testbed) -> None:
     for proxied in testbed.nodes:
         proxied.store_proxy.refuses_connections = True
         proxied.store_proxy.reset()
--- a/pimentoway/soak/stage.py
+++ b/pimentoway/soak/stage.py
@@ -19,6 +19,11 @@
 #: internal use.
 PORTS_PER_NODE = 10
 
+#: Seconds after a restoration of the store in which the operator and the
+#: engines write their records again, and until records of others lapse.
+REWRITE_SECONDS = 0.5
+LAPSE_SECONDS = 2.5
+
 #: Seconds between two readiness checks of all nodes.
 READY_POLL_SECONDS = 0.25
 
@@ -34,11 +39,13 @@
         engine: The engine.
         proxy: The proxy between nodes and the engine.
         record: Its record in the store, with the address of the proxy.
+        registered: Whether it keeps its record in the store.
     """
 
     engine: recording_engine.RecordingEngine
     proxy: proxy.Proxy
     record: deployment.Engine
+    registered: bool = True
 
 
 @dataclasses.dataclass(eq=False)
@@ -110,6 +117,31 @@
             self.store, self.version, self.added_routes
         )
 
+    def restore_store(self, seconds: float) -> None:
+        """Let the store go back to an earlier state.
+
+        The operator and the engines then write their records again; those of
+        engines that are gone lapse.
+
+        Args:
+            seconds: The age of the copy.
+        """
+        self.store.restore(self.store.find_revision(seconds))
+        gevent.sleep(REWRITE_SECONDS)
+        soak_fixture.put_configuration(
+            self.store, self.version, self.added_routes
+        )
+        for proxied in self.engines:
+            if proxied.registered:
+                proxied.record = dataclasses.replace(
+                    proxied.record, sequence=proxied.record.sequence + 1
+                )
+                soak_fixture.put_engine(self.store, proxied.record)
+        gevent.sleep(LAPSE_SECONDS)
+        for gone in self.engines:
+            if not gone.registered:
+                self.store.remove(registry.Kind.engines, gone.engine.name)
+
     def wait_until_ready(self, seconds: float) -> list[fleet.Node]:
         """Wait until all nodes are ready.
 
@@ -142,6 +174,7 @@
             proxied: The engine.
         """
         proxied.engine.crashing = True
+        proxied.registered = False
         gevent.sleep(recording_engine.EVENT_GAP_SECONDS * 2)
         proxied.proxy.refuses_connections = True
         proxied.proxy.reset()
@@ -153,7 +186,11 @@
         Args:
             proxied: The engine.
         """
-        proxied.record = dataclasses.replace(proxied.record, draining=True)
+        proxied.record = dataclasses.replace(
+            proxied.record,
+            draining=True,
+            sequence=proxied.record.sequence + 1,
+        )
         soak_fixture.put_engine(self.store, proxied.record)
 
     def restart_engine(self, proxied: ProxiedEngine) -> None:
@@ -165,8 +202,12 @@
         proxied.engine.crashing = False
         proxied.proxy.restore()
         proxied.record = dataclasses.replace(
-            proxied.record, born=proxied.record.born + 1, draining=False
+            proxied.record,
+            born=proxied.record.born + 1,
+            draining=False,
+            sequence=0,
         )
+        proxied.registered = True
         soak_fixture.put_engine(self.store, proxied.record)
 
     def _add_engine(self, name: str, zone: str) -> ProxiedEngine:
