--- a/pimentoway/ops/restoration_test.py
+++ b/pimentoway/ops/restoration_test.py
@@ -107,7 +107,7 @@
 
 # Guards against a node that forgets the configuration in force, or passes none
 # on, because the restored store has an older one.
-def test_newest_configuration_is_kept_and_passed_on() -> None:
+def test_newest_configuration_is_passed_on() -> None:
     """The version decides, however often the store is restored."""
     node_view = view.View()
     newest = view_test.make_deployment(9)
