--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 
-from pimentoway.tools import edge_guard, guard_text
+from pimentoway.tools import edge_guard, guard_text, recovery_guard
 
 #: Number of copies tested in parallel.
 PARALLEL_COPIES = 6
@@ -41,6 +41,7 @@
 
 GUARDS = (
     *edge_guard.GUARDS,
+    *recovery_guard.GUARDS,
     guard_text.Guard(
         'claim before dispatch',
         'ops/claimlog.py',
