Check the era of the store before a watch waits again

A change could be seen up to 20 s late: the store was restored while a node could not call it, and had reached the revision of the node's watch again when the node came back. Such a watch gets no 410, and only its answer shows the era. The first watch after a failed call, or after records that came from other nodes, no longer waits. test_failed_watch_retries_from_its_revision checks the waits too and failed before.

--- a/pimentoway/ops/registrywatcher.py
+++ b/pimentoway/ops/registrywatcher.py
@@ -40,11 +40,14 @@
     Attributes:
         listed: Whether the view has a listing, after which it can watch.
         expired: Whether the last watch expired.
+        confirmed: Whether the store has answered since the last call that
+            failed, or since other nodes sent the records.
         pause: Seconds of the next pause after a call that failed.
     """
 
     listed: bool = False
     expired: bool = False
+    confirmed: bool = False
     pause: float = RETRY_SECONDS
 
     def wait(self) -> None:
@@ -92,12 +95,13 @@
             else:
                 # Records from other nodes are newer than the last listing.
                 state.listed = self._view.revision_by_kind[kind] > 0
+                state.confirmed = False
                 gevent.sleep(CHECK_SECONDS)
 
     def _advance(self, kind: registry.Kind, state: _WatchState) -> None:
         watches = state.listed
         try:
-            state.listed = self._fetch(kind, state.listed)
+            self._fetch(kind, state)
         except error.WatchExpiredError as lost:
             _LOG.write(
                 'watch expired, lists all records again.',
@@ -112,15 +116,18 @@
             return
         except error.PlatformError as fault:
             self._note_failure(kind, fault)
+            state.confirmed = False
             state.wait()
             return
+        state.listed = True
+        state.confirmed = True
         if watches:
             state.pause = RETRY_SECONDS
             state.expired = False
         self._note_success(kind)
 
-    def _fetch(self, kind: registry.Kind, listed: bool) -> bool:
-        if not listed:
+    def _fetch(self, kind: registry.Kind, state: _WatchState) -> None:
+        if not state.listed:
             listing = self._source.list_records(kind)
             snapshot = view.Snapshot(
                 kind, listing.revision, listing.records_by_name
@@ -132,13 +139,16 @@
                     revision=listing.revision,
                     known=self._view.revision_by_kind[kind],
                 )
-            return True
+            return
         revision = self._view.revision_by_kind[kind]
-        changes = self._source.watch_records(kind, revision, WATCH_SECONDS)
+        # The store may have been restored meanwhile, and may have reached the
+        # revision again. Only an answer shows this, so the first one must not
+        # wait for a change.
+        seconds = WATCH_SECONDS if state.confirmed else 0
+        changes = self._source.watch_records(kind, revision, seconds)
         self._view.apply_changes(kind, changes, 'store watch')
         if changes.changes:
             gevent.sleep(BATCH_SECONDS_BY_KIND.get(kind, 0))
-        return True
 
     def _note_failure(self, kind: registry.Kind, fault: Exception) -> None:
         self._view.note_store_failure()
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -161,6 +161,7 @@
         answers: The answers left: listings and changes to return, errors to
             raise.
         calls: The calls so far.
+        waits: The seconds for which each watch would wait.
     """
 
     def __init__(self, *answers: object) -> None:
@@ -171,6 +172,7 @@
         """
         self.answers = collections.deque(answers)
         self.calls: list[str] = []
+        self.waits: list[float] = []
 
     def list_records(self, kind: Kind) -> registry.Listing:
         """Return the next answer.
@@ -191,11 +193,12 @@
         Args:
             kind: Ignored.
             revision: The revision, recorded in the call.
-            seconds: Ignored.
+            seconds: How long to wait, which is recorded.
 
         Returns:
             The next answer.
         """
+        self.waits.append(seconds)
         return self._answer(f'watch {revision}')
 
     def put_peer(self, peer: deployment.Peer) -> None:
@@ -364,6 +367,10 @@
         registry.Changes(6, ()),
     )
     assert source.calls == ['list', 'watch 5', 'watch 5', 'watch 5', 'watch 6']
+    # Guards against changes that are seen late: the store was restored while
+    # calls failed, and only an answer shows that.
+    waits = registrywatcher.WATCH_SECONDS
+    assert source.waits == [waits, 0, 0, waits]
     assert set(registry_view.engines_by_name) == {'a'}
 
 
--- a/pimentoway/tools/recovery_guard.py
+++ b/pimentoway/tools/recovery_guard.py
@@ -108,4 +108,11 @@
         '            if False:\n',
         'pimentoway/ops/view_test.py',
     ),
+    guard_text.Guard(
+        'the era is checked before a watch waits again',
+        'ops/registrywatcher.py',
+        'seconds = WATCH_SECONDS if state.confirmed else 0',
+        'seconds = WATCH_SECONDS',
+        'pimentoway/ops/view_test.py',
+    ),
 )
