Refuse entries of back ends whose address or numbers are out of range

An entry with port 0, 70000 or of digits of another script, with 10^26 slots or a cold start of 1e305 s was listed as a back end; nodes then sent requests there, or ended the link on which they passed the entry on, as MessagePack has no such integer. The decoder only checked that the port's characters are digits, which holds for superscripts, and set no upper bounds.

Addresses must be IPv4 with a port of 1 to 65535, names must fit a header, and the numbers of all kinds of records are bounded. An engine's entry beyond the bounds names no back end; a configuration beyond them leaves the earlier one in force.

--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -1,11 +1,13 @@
 """Decodes and encodes objects of the platform's store as product records."""
 
+import re
 import types
 import typing
 
 import msgspec
 
 from pimentoway.core import deployment, registry
+from pimentoway.platform import validation
 
 #: Milliseconds in a second.
 MILLISECONDS = 1000
@@ -32,8 +34,31 @@
     {'ready': False, 'draining': True},
 )
 
-Revision = typing.Annotated[int, msgspec.Meta(ge=0)]
-Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+#: The largest integer that nodes can send to each other.
+MAX_INTEGER = 0x7FFFFFFFFFFFFFFF
+
+#: The largest size of other numbers. Timeouts of sockets and the sums of
+#: weights are exact up to it.
+MAX_NUMBER = 1e12
+
+#: The most slots of a back end, the most cores of a node, and the longest cold
+#: start and block. An entry beyond them is not from a back end or a node.
+MAX_SLOTS = 100_000
+MAX_CORES = 100_000
+MAX_COLD_MILLISECONDS = 86_400_000
+MAX_BLOCK_SECONDS = 86_400
+
+_DIGEST = re.compile('[0-9a-f]{1,16}')
+
+Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Number = typing.Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+Cores = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
+ColdMilliseconds = typing.Annotated[
+    float, msgspec.Meta(ge=-MAX_COLD_MILLISECONDS, le=MAX_COLD_MILLISECONDS)
+]
+BlockSeconds = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_BLOCK_SECONDS)]
 NonEmptyText = typing.Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -54,7 +79,7 @@
 
     name: str
     revision: Revision = 0
-    created: int = 0
+    created: Integer = 0
     finalizers: list[str] = []
     deleting: bool = False
 
@@ -75,7 +100,7 @@
 
 class _WeightedService(_Pascal):
     service: str
-    weight: float
+    weight: Number
 
 
 class _Route(_Pascal):
@@ -86,47 +111,47 @@
     # A route names either one service or several in `split`, by weight.
     service: str = ''
     split: list[_WeightedService] = []
-    timeout_ms: float = 0
-    goal_ms: float = 0
-    gap_target_ms: float = 0
-    priority: int = 0
+    timeout_ms: Number = 0
+    goal_ms: Number = 0
+    gap_target_ms: Number = 0
+    priority: Integer = 0
     # The most back ends to which one request may be sent, retries included.
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     public: bool = False
     resumable: bool = False
 
 
 class _EngineLimits(_Pascal):
-    slots: int = 0
+    slots: Integer = 0
 
 
 class _Service(_Pascal):
     name: str
-    max_connections: int = 0
-    cold_per_s: float = 0
+    max_connections: Integer = 0
+    cold_per_s: Number = 0
     engine: _EngineLimits | None = None
 
 
 class _CallerLimits(_Pascal):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 10000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: Integer = 16384
+    max_body_bytes: Integer = 4194304
+    header_timeout_ms: Number = 10000
+    idle_timeout_ms: Number = 15000
 
 
 class _Tenant(_Pascal):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
     # What RatePerS and Burst count: requests, or tokens (TOKEN_UNIT).
     unit: str = ''
-    plain_tokens: int = 0
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: Integer = 0
+    rate_per_s: Number = 0
+    burst: Number = 0
 
 
 class _Configuration(_Pascal):
-    version: int
+    version: Integer
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _CallerLimits = _CallerLimits()
@@ -138,13 +163,13 @@
     address: NonEmptyText
     zone: NonEmptyText
     version: NonEmptyText
-    slots: Count
+    slots: Slots
     state: str
     # The remaining cold start when the entry was written, not when read.
-    cold_remaining_ms: float
+    cold_remaining_ms: ColdMilliseconds
     # The number of writes of this back end to its entry.
-    sequence: int
-    born: int | None = msgspec.field(default=None, name='born')
+    sequence: Integer
+    born: Integer | None = msgspec.field(default=None, name='born')
     # Only model engines have these. They are unused, but decoded so that a
     # value of another type marks the entry as written by a foreign writer.
     stage: str = ''
@@ -155,7 +180,7 @@
     service: NonEmptyText
     # The version that should get the traffic; not the name of a service.
     target: NonEmptyText
-    duration_s: float
+    duration_s: Number
 
 
 class _RolloutStatus(_Pascal):
@@ -166,14 +191,14 @@
 class _Peer(_Pascal):
     zone: NonEmptyText
     address: NonEmptyText
-    cores: float
+    cores: Cores
 
 
 class _PartBlock(_Pascal):
     service: NonEmptyText
     # JSON has no integers of 64 bits, so the digest is in hexadecimal.
     part: NonEmptyText
-    seconds: typing.Annotated[float, msgspec.Meta(gt=0)]
+    seconds: BlockSeconds
 
 
 def decode(kind: registry.Kind, stored: StoredObject) -> registry.Record:
@@ -261,11 +286,8 @@
 
 def _decode_engine(stored: StoredObject) -> deployment.Engine:
     raw = msgspec.json.decode(stored.spec, type=_Server)
-    host, _, port = raw.address.rpartition(':')
-    if not host or not port.isdigit():
-        raise msgspec.ValidationError(
-            f'Address is not HOST:PORT: {raw.address!r}'
-        )
+    validation.check_name(stored.metadata.name)
+    validation.check_address(raw.address)
     return deployment.Engine(
         name=stored.metadata.name,
         service=raw.service,
@@ -300,6 +322,7 @@
 
 def _decode_peer(stored: StoredObject) -> deployment.Peer:
     raw = msgspec.json.decode(stored.spec, type=_Peer)
+    validation.check_address(raw.address)
     return deployment.Peer(
         name=stored.metadata.name,
         zone=raw.zone,
@@ -310,10 +333,9 @@
 
 def _decode_part_block(stored: StoredObject) -> deployment.PartBlock:
     raw = msgspec.json.decode(stored.spec, type=_PartBlock)
-    try:
-        part = int(raw.part, _HEXADECIMAL)
-    except ValueError as fault:
-        raise msgspec.ValidationError(f'Part is {raw.part!r}') from fault
+    if not _DIGEST.fullmatch(raw.part):
+        raise msgspec.ValidationError(f'Part is {raw.part!r}')
+    part = int(raw.part, _HEXADECIMAL)
     return deployment.PartBlock(raw.service, part, raw.seconds)
 
 
--- a/pimentoway/platform/record_test.py
+++ b/pimentoway/platform/record_test.py
@@ -108,6 +108,26 @@
         {'Slots': -1},
         {'Service': ''},
         {'Slots': '6'},
+        # A connection to them fails or raises, at each request anew.
+        {'Address': '1.2.3.4:0'},
+        {'Address': '1.2.3.4:70000'},
+        {'Address': f'1.2.3.4:{"8" * 5000}'},
+        {'Address': '1.2.3.4:8\u00b2'},
+        {'Address': '1.2.3.4:\u0668\u0660'},
+        {'Address': '1.2.3.4:080'},
+        {'Address': '1.2.3.4: 80'},
+        {'Address': '1.2.3.999:80'},
+        {'Address': '\u0661.2.3.4:80'},
+        {'Address': 'h.example:80'},
+        {'Address': ':80'},
+        # Other nodes could not be told such a number.
+        {'Slots': 10**26},
+        {'Slots': 10**9},
+        {'Sequence': 10**26},
+        {'born': 10**26},
+        # Nothing would be sent to the back end while it counts as cold.
+        {'ColdRemainingMs': 1e305},
+        {'ColdRemainingMs': -1e305},
     ],
 )
 def test_engine_entry_with_invalid_value_fails(change: dict) -> None:
@@ -116,6 +136,62 @@
         decode(registry.Kind.engines, {**SERVER, **change})
 
 
+@pytest.mark.parametrize('name', ['a\r\nX: y', 'a\x00', '\u0661'])
+def test_engine_name_that_fits_no_header_fails(name: str) -> None:
+    """A request to the back end would carry it, with lines of its own."""
+    stored = record.StoredObject(
+        record.Metadata(name), msgspec.Raw(msgspec.json.encode(dict(SERVER)))
+    )
+    with pytest.raises(msgspec.MsgspecError):
+        record.decode(registry.Kind.engines, stored)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'spec'),
+    [
+        (registry.Kind.configuration, {'Version': 10**26}),
+        (
+            registry.Kind.configuration,
+            {'Version': 1, 'Routes': [{**ROUTE, 'TimeoutMs': 1e300}]},
+        ),
+        (
+            registry.Kind.configuration,
+            {'Version': 1, 'Routes': [{**ROUTE, 'MaxAttempts': 10**26}]},
+        ),
+        (
+            registry.Kind.rollouts,
+            {'Service': 's', 'Target': 'v', 'DurationS': 1e305},
+        ),
+        (
+            registry.Kind.peers,
+            {'Zone': 'z', 'Address': '1.2.3.4:70000', 'Cores': 1},
+        ),
+        (
+            registry.Kind.peers,
+            {'Zone': 'z', 'Address': '1.2.3.4:5', 'Cores': 1e305},
+        ),
+        (
+            registry.Kind.part_blocks,
+            {'Service': 's', 'Part': 'f' * 17, 'Seconds': 5},
+        ),
+        (
+            registry.Kind.part_blocks,
+            {'Service': 's', 'Part': ' 1_0', 'Seconds': 5},
+        ),
+        (
+            registry.Kind.part_blocks,
+            {'Service': 's', 'Part': 'f', 'Seconds': 1e305},
+        ),
+    ],
+)
+def test_record_with_number_out_of_range_fails(
+    kind: registry.Kind, spec: dict
+) -> None:
+    """Sockets and messages between nodes raise errors for such numbers."""
+    with pytest.raises(msgspec.MsgspecError):
+        decode(kind, spec)
+
+
 def test_configuration_is_decoded() -> None:
     """Routes, services, customers and limits are converted to records."""
     configuration = decode(
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -57,6 +57,20 @@
         "        draining=raw.state == 'draining',",
         'pimentoway/platform/record_test.py',
     ),
+    guard_text.Guard(
+        'an address has a port that exists',
+        'platform/validation.py',
+        'if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:',
+        'if not port.isdigit():',
+        'pimentoway/platform/record_test.py',
+    ),
+    guard_text.Guard(
+        'numbers of back ends are in range',
+        'platform/record.py',
+        'msgspec.Meta(ge=0, le=MAX_SLOTS)',
+        'msgspec.Meta(ge=0)',
+        'pimentoway/platform/record_test.py',
+    ),
     guard_text.Guard(
         'configuration never goes back',
         'ops/view.py',
