Read the others when one object of the store is unreadable

One object that is nested too deeply, or that holds half a surrogate pair or bytes that aren't UTF-8, ended the listing and the watch of its kind with an error at each attempt: the nodes stopped following the store, and a RecursionError was no error of the platform, so that it ended the task again and again. The JSON library refuses the whole answer, and the error of the object itself was caught only if it was the library's.

An answer that is refused is split by a scanner without recursion, and each object is decoded by itself. A listing continues after the last name that can be read.

--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -9,11 +9,10 @@
     connection,
     deployment,
     error,
-    log,
     metric,
     registry,
 )
-from pimentoway.platform import record
+from pimentoway.platform import record, store_answer
 
 #: The longest time to connect to the store.
 CONNECT_SECONDS = 0.5
@@ -51,28 +50,6 @@
 _TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 
-_LOG = log.Log('store')
-
-
-class _Page(msgspec.Struct, rename='pascal'):
-    entries: list[msgspec.Raw] = msgspec.field(
-        default_factory=list,
-        name='Items',
-    )
-    has_more: bool = False
-    store_revision: int = 0
-
-
-class _Event(msgspec.Struct, rename='pascal'):
-    removed: bool = False
-    object: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _WatchAnswer(msgspec.Struct, rename='pascal'):
-    store_revision: int = 0
-    # The only key that the store does not write in Pascal case.
-    events: list[_Event] = msgspec.field(default_factory=list, name='events')
-
 
 class PlatformRegistry(registry.Registry):
     """The registry on the platform's store, over HTTP.
@@ -105,12 +82,14 @@
         changes: list[registry.Change] = []
         revision = 0
         for _ in range(MAX_PAGES):
-            after = changes[-1].name if changes else ''
-            page = self._read_page(kind, after)
+            # An unreadable name can't be used to continue.
+            names = [change.name for change in changes if change.name]
+            page = self._read_page(kind, names[-1] if names else '')
             # A watch from the first page's revision also reports what changed
             # while the later pages were read.
             revision = revision or page.store_revision
-            changes.extend(_decode_object(kind, raw) for raw in page.entries)
+            decoder = store_answer.ObjectDecoder(kind)
+            changes.extend(decoder.decode(raw) for raw in page.entries)
             if not page.has_more:
                 return registry.Listing(revision, _collect_records(changes))
         raise error.PlatformError(
@@ -134,10 +113,11 @@
         milliseconds = int(seconds * MILLISECONDS)
         path = f'{_make_path(kind)}?Watch={revision}&WaitMs={milliseconds}'
         answer = self._call('GET', path, wait_seconds=seconds)
-        watch_answer = _decode(answer.body, _WatchAnswer)
+        watch_answer = store_answer.decode_watch(answer.body)
+        decoder = store_answer.ObjectDecoder(kind)
         changes = []
         for event in watch_answer.events:
-            change = _decode_object(kind, event.object)
+            change = decoder.decode(event.object)
             if event.removed:
                 change = registry.Change(change.name, None)
             if change.name:
@@ -209,11 +189,11 @@
         except error.PlatformConflictError:
             self._call('PUT', _make_path(kind, name), body)
 
-    def _read_page(self, kind: registry.Kind, after: str) -> _Page:
+    def _read_page(self, kind: registry.Kind, after: str) -> store_answer.Page:
         # Despite its name, AfterRev takes the name of the last object seen.
         query = f'?{parse.urlencode({"AfterRev": after})}' if after else ''
         answer = self._call('GET', f'{_make_path(kind)}{query}')
-        return _decode(answer.body, _Page)
+        return store_answer.decode_page(answer.body)
 
     def _call(
         self,
@@ -268,15 +248,6 @@
     raise error.PlatformAmbiguousError(text, step, peer)
 
 
-def _decode(body: bytes, schema: type) -> object:
-    try:
-        return msgspec.json.decode(body, type=schema)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
-        raise error.PlatformAmbiguousError(
-            f'cannot decode the answer of the store: {fault}', 'decode'
-        ) from fault
-
-
 def _collect_records(
     changes: list[registry.Change],
 ) -> dict[str, registry.Record]:
@@ -285,29 +256,3 @@
         for change in changes
         if change.record is not None
     }
-
-
-def _decode_object(kind: registry.Kind, raw: bytes) -> registry.Change:
-    # An object that can't be decoded must not hide the others. Its record
-    # counts as removed.
-    name = ''
-    try:
-        name = msgspec.json.decode(raw, type=_NamedObject).metadata.name
-        stored = msgspec.json.decode(raw, type=record.StoredObject)
-        return registry.Change(name, record.decode(kind, stored))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
-        _LOG.write(
-            'cannot decode an object, its record is dropped.',
-            kind=kind.value,
-            name=name,
-            reason=str(fault),
-        )
-        return registry.Change(name, None)
-
-
-class _NamedMetadata(msgspec.Struct, rename='pascal'):
-    name: str
-
-
-class _NamedObject(msgspec.Struct, rename='pascal'):
-    metadata: _NamedMetadata
--- a/pimentoway/platform/store_test.py
+++ b/pimentoway/platform/store_test.py
@@ -2,12 +2,14 @@
 
 import collections
 import dataclasses
+import itertools
 import json
+import time
 
 import pytest
 
 from pimentoway.core import connection, deployment, error, registry
-from pimentoway.platform import store
+from pimentoway.platform import store, store_answer
 
 PEER = deployment.Peer('n1', 'z', '1.2.3.4:5', 1.0)
 
@@ -17,8 +19,8 @@
     """A connection pool that returns prepared answers in order.
 
     Attributes:
-        answers: What the next calls get: a status and a JSON body, or an
-            error to raise.
+        answers: What the next calls get: a status and a JSON body, decoded
+            or as bytes, or an error to raise.
         calls: The calls made so far.
     """
 
@@ -39,9 +41,9 @@
         if isinstance(answer, Exception):
             raise answer
         status, body = answer
-        return connection.Answer(
-            status, 'application/json', json.dumps(body).encode()
-        )
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        return connection.Answer(status, 'application/json', body)
 
 
 def make_registry(
@@ -135,6 +137,135 @@
     )
 
 
+#: Values that the JSON library refuses, each at another place.
+UNREADABLE_VALUES = (
+    b'%s1%s' % (b'[' * 100_000, b']' * 100_000),
+    b'%s1%s' % (b'{"a":' * 100_000, b'}' * 100_000),
+    b'"%sud800"' % b'\\',
+    b'{"%sud800": 1}' % b'\\',
+    b'"\xff"',
+    b'{"\xff": 1}',
+    b'1%s' % (b'0' * 5000),
+    b'1e999',
+)
+UNREADABLE_OBJECTS = (
+    b'{"Metadata":{"Name":"odd"},"Spec":%s}',
+    b'{"Metadata":{"Name":"odd"},"Spec":{"Zone":"z","Cores":1.0,"Address":%s}}',
+    b'{"Metadata":{"Name":"odd"},"Other":%s,"Spec":{}}',
+    b'{"Metadata":{"Other":%s,"Name":"odd"},"Spec":{}}',
+    b'{"Metadata":{"Name":"odd","Revision":%s},"Spec":{}}',
+)
+
+
+def list_odd_objects() -> list[bytes]:
+    """List objects that can't be decoded, whose names can be.
+
+    Returns:
+        Their JSON texts.
+    """
+    return [
+        template % odd
+        for template in UNREADABLE_OBJECTS
+        for odd in UNREADABLE_VALUES
+    ]
+
+
+@pytest.mark.parametrize('odd', list_odd_objects())
+def test_unreadable_object_hides_no_others(odd: bytes) -> None:
+    """The JSON library may refuse the whole page for the sake of one object."""
+    whole = [json.dumps(make_object(name)).encode() for name in ('a', 'z')]
+    listed = b', '.join((whole[0], odd, whole[1]))
+    body = b'{"Items": [%s], "HasMore": false, "StoreRevision": 5}' % listed
+    platform_registry, _ = make_registry((200, body))
+    listing = platform_registry.list_records(registry.Kind.peers)
+    assert set(listing.records_by_name) == {'a', 'z'}
+    assert listing.revision == 5
+
+
+@pytest.mark.parametrize('odd', list_odd_objects())
+def test_unreadable_object_does_not_stop_a_watch(odd: bytes) -> None:
+    """A watch that fails is retried and gets the same answer for ever."""
+    whole = json.dumps(make_object('a')).encode()
+    body = (
+        b'{"events": [{"Removed": false, "Object": %s}, {"Object": %s}],'
+        b' "StoreRevision": 9}' % (odd, whole)
+    )
+    platform_registry, _ = make_registry((200, body))
+    changes = platform_registry.watch_records(registry.Kind.peers, 5, 1)
+    assert changes.revision == 9
+    assert [
+        (change.name, change.record is None) for change in changes.changes
+    ] == [('odd', True), ('a', False)]
+
+
+@pytest.mark.parametrize('odd_name', UNREADABLE_VALUES)
+def test_object_with_unreadable_name_is_left_out(odd_name: bytes) -> None:
+    """The listing continues after the last name that can be read."""
+    whole = json.dumps(make_object('n1')).encode()
+    odd = b'{"Metadata":{"Name":%s},"Spec":{}}' % odd_name
+    body = b'{"Items":[%s,%s],"HasMore":true,"StoreRevision":5}' % (whole, odd)
+    platform_registry, pool = make_registry(
+        (200, body), (200, {'Items': [make_object('n2')], 'StoreRevision': 9})
+    )
+    listing = platform_registry.list_records(registry.Kind.peers)
+    assert set(listing.records_by_name) == {'n1', 'n2'}
+    assert pool.calls[1].path.endswith('?AfterRev=n1')
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'odd',
+        b'"odd"',
+        b'{"Items": [{"a": "\xff',
+        b'{"Items": [}',
+        b'{"Items": 5, "events": 5}',
+        b'{1: 2}',
+        b'[' * 100_000,
+        rb'"\"' * 100_000,
+    ],
+)
+def test_unreadable_answer_is_a_platform_error(body: bytes) -> None:
+    """Another error would end the task that follows the store."""
+    platform_registry, _ = make_registry((200, body), (200, body))
+    with pytest.raises(error.PlatformAmbiguousError):
+        platform_registry.list_records(registry.Kind.peers)
+    with pytest.raises(error.PlatformAmbiguousError):
+        platform_registry.watch_records(registry.Kind.peers, 5, 1)
+
+
+def test_unreadable_object_costs_linear_time() -> None:
+    """A listing of a megabyte with one such object is split in good time."""
+    whole = json.dumps(make_object('n1', Other=r'\"[' * 500)).encode()
+    odd = UNREADABLE_OBJECTS[0] % UNREADABLE_VALUES[0]
+    listed = b','.join([odd, *itertools.repeat(whole, 500)])
+    body = b'{"Items":[%s],"StoreRevision":5}' % listed
+    assert len(body) > 1_000_000
+    started = time.process_time()
+    page = store_answer.decode_page(body)
+    assert len(page.entries) == 501
+    assert time.process_time() - started < 1
+
+
+def test_lines_of_unreadable_objects_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Thousands of them would displace the other lines."""
+    written = []
+    monkeypatch.setattr(
+        store_answer._LOG, 'write', lambda _, **fields: written.append(fields)
+    )
+    name = 'n' * 10_000
+    listed = [make_object(name, Address=name) for _ in range(100)]
+    platform_registry, _ = make_registry(
+        (200, {'Items': listed, 'StoreRevision': 5})
+    )
+    platform_registry.list_records(registry.Kind.peers)
+    assert len(written) == store_answer.MAX_LOGGED
+    assert len(json.dumps(written)) < 1000 * store_answer.MAX_LOGGED
+
+
 @pytest.mark.parametrize(
     ('status', 'expected'),
     [
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -71,6 +71,27 @@
         'msgspec.Meta(ge=0)',
         'pimentoway/platform/record_test.py',
     ),
+    guard_text.Guard(
+        'an unreadable object hides no others',
+        'platform/store_answer.py',
+        '        return split(body)\n',
+        '        return msgspec.json.decode(body, type=schema)\n',
+        'pimentoway/platform/store_test.py',
+    ),
+    guard_text.Guard(
+        'a deeply nested object names no record',
+        'platform/store_answer.py',
+        'UNREADABLE_ERRORS = (ValueError, OverflowError, RecursionError)',
+        'UNREADABLE_ERRORS = (ValueError,)',
+        'pimentoway/platform/store_test.py',
+    ),
+    guard_text.Guard(
+        'a listing continues after a name that can be read',
+        'platform/store.py',
+        'names = [change.name for change in changes if change.name]',
+        'names = [change.name for change in changes]',
+        'pimentoway/platform/store_test.py',
+    ),
     guard_text.Guard(
         'configuration never goes back',
         'ops/view.py',
