Bound the numbers in headers of callers and back ends

A Keep-Alive of 5,000 digits in a back end's answer and a time limit of 4,000 digits of a caller raised errors that nothing expects; a cold time of inf or 1e305 kept a back end without requests; token counts and loads beyond 64 bits ended the link to the broker, as MessagePack has no such integer. int() and float() take numbers of any size.

--- a/pimentoway/platform/wire.py
+++ b/pimentoway/platform/wire.py
@@ -1,6 +1,7 @@
 """Translates the platform's HTTP headers from and to the product's types."""
 
 import contextlib
+import math
 
 import xxhash
 
@@ -21,6 +22,15 @@
 #: The most parts of a prompt that are read; further ones are ignored.
 MAX_PARTS = 32
 
+#: The largest time and the largest token count that are read from a request;
+#: larger ones count as these. Nodes can't send each other any larger integers.
+MAX_SECONDS = 86_400
+MAX_TOKENS = 0x7FFFFFFF
+
+#: The largest load that an answer may report; a larger one is ignored, as is a
+#: time above ``MAX_SECONDS``.
+MAX_LOAD = 1_000_000
+
 _REQUEST_ID = b'pimentoway-attempt-id'
 # The remaining time in milliseconds, not a point in time.
 _DEADLINE = b'pimentoway-deadline-ms'
@@ -139,9 +149,11 @@
     if text is None:
         return None
     try:
-        return max(0, int(text) / MILLISECONDS)
+        milliseconds = int(text)
     except ValueError as fault:
         raise message.MessageError('the time limit is no number') from fault
+    # Division of larger integers raises an error.
+    return max(0, min(milliseconds, MAX_SECONDS * MILLISECONDS) / MILLISECONDS)
 
 
 def _read_token_counts(
@@ -153,10 +165,11 @@
     hinted_tokens = 0
     with contextlib.suppress(ValueError):
         # The hint is optional, so an unreadable one counts as absent.
-        hinted_tokens = max(0, int(texts_by_name.get(_LENGTH_HINT, b'0')))
+        hint = int(texts_by_name.get(_LENGTH_HINT, b'0'))
+        hinted_tokens = max(0, min(hint, MAX_TOKENS))
     try:
         prompt_tokens, output_tokens = (
-            int(count) for count in text.split(b',')
+            min(int(count), MAX_TOKENS) for count in text.split(b',')
         )
     except ValueError as fault:
         raise message.MessageError('the tokens are no numbers') from fault
@@ -234,25 +247,34 @@
     except ValueError:
         # The load is only a hint, so an unreadable one counts as absent.
         return None
+    if max(running, waiting, slots) > MAX_LOAD:
+        return None
     return call.Load(running, waiting, slots)
 
 
 def _read_milliseconds(text: bytes | None) -> float | None:
     try:
-        return None if text is None else float(text) / MILLISECONDS
+        seconds = math.nan if text is None else float(text) / MILLISECONDS
     except ValueError:
         # The back end's entry in the store holds the same time.
         return None
+    return seconds if abs(seconds) <= MAX_SECONDS else None
 
 
 def _read_keep_alive(text: bytes) -> float | None:
     for part in text.split(b','):
         name, _, number = part.strip().partition(b'=')
         if name.lower() == b'timeout' and number.isdigit():
-            return int(number)
+            return _read_idle_seconds(number)
     return None
 
 
+def _read_idle_seconds(digits: bytes) -> float | None:
+    # Unlike int, float converts any number of digits.
+    seconds = float(digits)
+    return seconds if seconds <= MAX_SECONDS else None
+
+
 #: The platform's protocol between callers, nodes and back ends.
 DIALECT = call.Dialect(
     read_request=read_request,
--- a/pimentoway/platform/wire_test.py
+++ b/pimentoway/platform/wire_test.py
@@ -25,7 +25,7 @@
     Returns:
         The decoded request.
     """
-    reader = message.RequestReader(4000, 4000)
+    reader = message.RequestReader(16_384, 4000)
     reader.feed(b'%s%sContent-Length: 2\r\n\r\nab' % (head, extra))
     return wire.read_request(reader.requests[0])
 
@@ -129,6 +129,8 @@
     'head',
     [
         HEAD.replace(b'5000', b'soon'),
+        HEAD.replace(b'5000', b'9' * 5000),
+        HEAD.replace(b'1460,80', b'1,%s' % (b'9' * 5000)),
         HEAD.replace(b'1460,80', b'1460'),
         HEAD.replace(b'1460,80', b'-5,80'),
         HEAD.replace(b'Host: h.example:80\r\n', b''),
@@ -194,6 +196,43 @@
     )
 
 
+@pytest.mark.parametrize(
+    'number', [b'9' * 5000, b'9' * 4000, b'9' * 30, b'9' * 12]
+)
+def test_huge_numbers_of_a_back_end_are_ignored(number: bytes) -> None:
+    """They would raise errors when they are computed with or sent to nodes."""
+    metadata = read_metadata(
+        b'HTTP/1.1 200 OK\r\nPimentoway-Instance-Load: 1,%s,6\r\n'
+        b'Keep-Alive: timeout=%s\r\nPimentoway-Cold-Ms: %s'
+        % (number, number, number),
+    )
+    assert (metadata.load, metadata.idle_seconds, metadata.cold_seconds) == (
+        None,
+        None,
+        None,
+    )
+
+
+@pytest.mark.parametrize('number', [b'inf', b'nan', b'-inf', b'1e305'])
+def test_infinite_cold_start_is_ignored(number: bytes) -> None:
+    """A back end would get nothing more after one such answer."""
+    metadata = read_metadata(
+        b'HTTP/1.1 200 OK\r\nPimentoway-Cold-Ms: %s' % number
+    )
+    assert metadata.cold_seconds is None
+
+
+@pytest.mark.parametrize('number', [b'9' * 4000, b'9' * 30])
+def test_huge_numbers_of_a_caller_are_bounded(number: bytes) -> None:
+    """They would raise errors, or end the link to the broker."""
+    head = HEAD.replace(b'5000', number).replace(b'1460', number)
+    request = read(b'Pimentoway-Length-Hint: %s\r\n' % number, head)
+    assert request.timeout_seconds == wire.MAX_SECONDS
+    assert request.token_counts == call.TokenCounts(
+        wire.MAX_TOKENS, 80, wire.MAX_TOKENS
+    )
+
+
 def test_last_part_of_a_prompt_is_not_shared() -> None:
     """Equal parts have equal digests, whatever their lengths and spelling."""
     # The head has a header with the parts 5c and 91.
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -92,6 +92,27 @@
         'names = [change.name for change in changes]',
         'pimentoway/platform/store_test.py',
     ),
+    guard_text.Guard(
+        'a time limit is bounded before it is divided',
+        'platform/wire.py',
+        'min(milliseconds, MAX_SECONDS * MILLISECONDS) / MILLISECONDS',
+        'milliseconds / MILLISECONDS',
+        'pimentoway/platform/wire_test.py',
+    ),
+    guard_text.Guard(
+        'an infinite cold start is ignored',
+        'platform/wire.py',
+        'return seconds if abs(seconds) <= MAX_SECONDS else None',
+        'return seconds',
+        'pimentoway/platform/wire_test.py',
+    ),
+    guard_text.Guard(
+        'a huge load is ignored',
+        'platform/wire.py',
+        'if max(running, waiting, slots) > MAX_LOAD:',
+        'if min(running, waiting, slots) > MAX_LOAD:',
+        'pimentoway/platform/wire_test.py',
+    ),
     guard_text.Guard(
         'configuration never goes back',
         'ops/view.py',
