Treat deeply nested messages as undecodable

A message of another node or an answer of the object service that is nested more deeply than the JSON library goes raised a RecursionError, which ended the task that read it; the library's own errors alone were caught. The codec and the frames name all of its errors in one place.

--- a/pimentoway/core/codec.py
+++ b/pimentoway/core/codec.py
@@ -6,6 +6,10 @@
 
 from pimentoway.core import error
 
+#: What msgspec raises for a text that it can't decode. ``ValueError`` is the
+#: base of its own errors and of that of a text that isn't Unicode.
+DECODING_ERRORS = (ValueError, OverflowError, RecursionError)
+
 Record = typing.TypeVar('Record')
 
 
@@ -39,7 +43,7 @@
     """
     try:
         return msgspec.json.decode(text, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+    except DECODING_ERRORS as fault:
         raise error.PimentowayError(str(fault), 'decode', peer) from fault
 
 
@@ -71,5 +75,5 @@
     """
     try:
         return msgspec.msgpack.decode(packed, type=kind)
-    except msgspec.MsgspecError as fault:
+    except DECODING_ERRORS as fault:
         raise error.PimentowayError(str(fault), 'decode', peer) from fault
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from pimentoway.core import deployment, error, registry
+from pimentoway.core import codec, deployment, error, registry
 from pimentoway.ops import slot, view
 
 #: Bytes of the length field at the start of a frame.
@@ -140,6 +140,8 @@
     | slot.Report
 )
 
+_UNPACKING_ERRORS = (zlib.error, *codec.DECODING_ERRORS)
+
 _DECODER = msgspec.msgpack.Decoder(Message)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -326,7 +328,7 @@
 def _decode(encoded: bytes) -> Message:
     try:
         return _DECODER.decode(encoded)
-    except msgspec.MsgspecError as fault:
+    except codec.DECODING_ERRORS as fault:
         raise error.NodeError(
             f'cannot decode a message: {fault}', 'decode'
         ) from fault
@@ -378,7 +380,7 @@
                     'compressed records are cut or too large', 'decode'
                 )
         return msgspec.msgpack.decode(encoded, type=schema)
-    except (msgspec.MsgspecError, zlib.error, UnicodeDecodeError) as fault:
+    except _UNPACKING_ERRORS as fault:
         raise error.NodeError(
             f'cannot decode records: {fault}', 'decode'
         ) from fault
--- a/pimentoway/nodes/frame_test.py
+++ b/pimentoway/nodes/frame_test.py
@@ -145,6 +145,19 @@
         assert fault.step == 'decode'
 
 
+def test_deeply_nested_frame_raises_node_error() -> None:
+    """A later release may append fields, which are skipped at any depth."""
+    deep = b'%s\xc0' % (b'\x91' * 100_000)
+    body = b'\x93\x06\x91\x01%s' % deep
+    with pytest.raises(error.NodeError):
+        frame.FrameReader().feed(len(body).to_bytes(4, 'big') + body)
+    records = frame.Records(
+        'engines', 1, b'\x81\xa1a\x81\xa1b%s' % deep, [], is_snapshot=True
+    )
+    with pytest.raises(error.NodeError):
+        frame.apply_records(records, view.View(), 'test')
+
+
 def test_oversized_frame_raises_node_error() -> None:
     """A length above ``MAX_FRAME_BYTES`` is an error."""
     with pytest.raises(error.NodeError):
--- a/pimentoway/platform/store_answer.py
+++ b/pimentoway/platform/store_answer.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from pimentoway.core import error, log, registry
+from pimentoway.core import codec, error, log, registry
 from pimentoway.platform import record
 
 #: The most unreadable objects of an answer that are logged one by one, and the
@@ -21,10 +21,6 @@
 MAX_LOGGED = 8
 MAX_LOGGED_CHARACTERS = 200
 
-#: What the JSON library raises for an unreadable object. ``ValueError`` is the
-#: base of its own errors and of that of a text that isn't UTF-8.
-UNREADABLE_ERRORS = (ValueError, OverflowError, RecursionError)
-
 # The quantifiers keep no state to go back to, so the time is linear.
 _STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 _MEMBER = re.compile(rb'\s*(%s)\s*:(.*)' % _STRING, re.DOTALL)
@@ -149,7 +145,7 @@
         try:
             name = _read_name(raw)
             return registry.Change(name, self._decode_record(raw))
-        except UNREADABLE_ERRORS as fault:
+        except codec.DECODING_ERRORS as fault:
             self._log_unreadable(name, fault)
         return registry.Change(name, None)
 
@@ -176,11 +172,11 @@
 ) -> Decoded:
     try:
         return msgspec.json.decode(body, type=schema)
-    except UNREADABLE_ERRORS:
+    except codec.DECODING_ERRORS:
         _LOG.write('splits an answer that cannot be decoded at once.')
     try:
         return split(body)
-    except UNREADABLE_ERRORS as fault:
+    except codec.DECODING_ERRORS as fault:
         raise error.PlatformAmbiguousError(
             f'cannot decode the answer of the store: {fault}', 'decode'
         ) from fault
@@ -216,7 +212,7 @@
 def _read_name(raw: bytes) -> str:
     try:
         return msgspec.json.decode(raw, type=_NamedObject).metadata.name
-    except UNREADABLE_ERRORS:
+    except codec.DECODING_ERRORS:
         metadata = _find_member(bytes(raw), 'Metadata')
         return msgspec.json.decode(_find_member(metadata, 'Name'), type=str)
 
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -80,9 +80,9 @@
     ),
     guard_text.Guard(
         'a deeply nested object names no record',
-        'platform/store_answer.py',
-        'UNREADABLE_ERRORS = (ValueError, OverflowError, RecursionError)',
-        'UNREADABLE_ERRORS = (ValueError,)',
+        'core/codec.py',
+        'DECODING_ERRORS = (ValueError, OverflowError, RecursionError)',
+        'DECODING_ERRORS = (ValueError,)',
         'pimentoway/platform/store_test.py',
     ),
     guard_text.Guard(
