Tolerate odd event numbers and load reports of engines

An event of an engine whose number is no integer, or has 5,000 digits, raised a ValueError, which the caller got as an internal error and the back end was not charged with. An unreadable X-Load header failed the answer that carried it.

Such an event ends the stream like a broken connection; an unreadable load report is logged and ignored.

--- a/pimentoway/backends/event.py
+++ b/pimentoway/backends/event.py
@@ -18,6 +18,9 @@
 #: Media type of a streamed response.
 STREAM_TYPE = 'text/event-stream'
 
+#: The most digits of the number of an event.
+MAX_SEQUENCE_DIGITS = 18
+
 _FIELD_SEPARATOR = b':'
 
 
@@ -133,13 +136,14 @@
         One piece for each event; the last one is marked final.
 
     Raises:
-        ConnectionLostError: If the stream ends without its final event.
+        ConnectionLostError: If the stream ends without its final event, or
+            the number of an event can't be read.
     """
     sequence = 0
     while line := exchange.read_line():
         field, _, text = line.strip().partition(_FIELD_SEPARATOR)
         if field == b'id':
-            sequence = int(text)
+            sequence = _read_sequence(text, engine_name)
         if field != b'data':
             continue
         piece = decode_piece(sequence, text.strip(), request_id, engine_name)
@@ -152,6 +156,15 @@
     )
 
 
+def _read_sequence(text: bytes, engine_name: str) -> int:
+    digits = text.strip()
+    if not digits.isdigit() or len(digits) > MAX_SEQUENCE_DIGITS:
+        raise error.ConnectionLostError(
+            'the number of an event is unreadable', 'read', engine_name
+        )
+    return int(digits)
+
+
 def assemble_completion(pieces: list[request.Piece]) -> request.Piece:
     """Join the pieces of a streamed response into one chat completion.
 
--- a/pimentoway/backends/exchange.py
+++ b/pimentoway/backends/exchange.py
@@ -15,6 +15,7 @@
     configuration,
     connection,
     error,
+    log,
     metric,
     request,
 )
@@ -34,6 +35,8 @@
 _NOT_FOUND = 404
 _MAX_ERROR_CHARACTERS = 200
 
+_LOG = log.Log('exchange')
+
 
 @dataclasses.dataclass(frozen=True)
 class BackendLink:
@@ -287,9 +290,19 @@
     link: BackendLink,
 ) -> None:
     text = exchange.read_header(LOAD_HEADER)
-    if text:
+    if not text:
+        return
+    try:
         report = codec.decode_json(text, fleet.LoadReport, backend.name)
-        link.on_report(backend.name, report)
+    except error.PimentowayError as fault:
+        # The load is only a hint and must not fail the answer.
+        _LOG.write(
+            'ignores an unreadable load report.',
+            backend=backend.name,
+            reason=str(fault)[:_MAX_ERROR_CHARACTERS],
+        )
+        return
+    link.on_report(backend.name, report)
 
 
 def _check_status(
--- a/pimentoway/backends/exchange_process_test.py
+++ b/pimentoway/backends/exchange_process_test.py
@@ -159,6 +159,26 @@
         read_answer(configuration.Engine, peer)
 
 
+@pytest.mark.parametrize('number', [b'x', b'', b'1.5', b'-1', b'9' * 5000])
+def test_odd_number_of_an_event_ends_the_stream(number: bytes) -> None:
+    """Another error would not be handled as that of a back end."""
+    peer = ClosingBackend(
+        b'%s\r\nid: %s\ndata: {"id": "r1"}\n\n' % (HEAD, number)
+    )
+    with pytest.raises(error.ConnectionLostError):
+        read_answer(configuration.Engine, peer)
+
+
+@pytest.mark.parametrize(
+    'load', [b'odd', b'[' * 5000, b'{"boot": 5}', b'{"boot": "\xff"}']
+)
+def test_odd_load_does_not_fail_an_answer(load: bytes) -> None:
+    """The load is only a hint."""
+    peer = ClosingBackend(b'%sX-Load: %s\r\n\r\nrecorded' % (HEAD, load))
+    pieces = read_answer(configuration.Application, peer)
+    assert [piece.payload for piece in pieces] == [b'recorded']
+
+
 def make_answer(status: int, body: bytes) -> bytes:
     """Make an answer that keeps its connection open.
 
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -113,6 +113,14 @@
         'if min(running, waiting, slots) > MAX_LOAD:',
         'pimentoway/platform/wire_test.py',
     ),
+    guard_text.Guard(
+        'an event has a number that can be read',
+        'backends/event.py',
+        'if not digits.isdigit() or len(digits) > MAX_SEQUENCE_DIGITS:',
+        'if not digits:',
+        'pimentoway/backends/exchange_process_test.py',
+        _REAL,
+    ),
     guard_text.Guard(
         'configuration never goes back',
         'ops/view.py',
