Test answers of back ends that are cut at every byte of their head

An engine that stops within its answer's head and closes was reported to end as a 200 with an empty or short body. It can't happen on the own interface: engines and applications, with a length, with chunks and without either, cut at every byte over sockets (10 cases), gave no answer. A body of an application without length or chunks ends with its connection by definition, so a cut within it is not seen; an empty one is refused as blank.

--- a/pimentoway/backends/exchange_process_test.py
+++ b/pimentoway/backends/exchange_process_test.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import types
 
 import gevent
 import pytest
@@ -159,6 +160,66 @@
         read_answer(configuration.Engine, peer)
 
 
+BODIES_BY_TYPE = types.MappingProxyType(
+    {
+        configuration.Application: b'recorded',
+        configuration.Engine: b''.join(EVENTS),
+    }
+)
+
+
+def make_framed_answer(framing: str, body: bytes) -> bytes:
+    """Make an answer with a head of several lines.
+
+    Args:
+        framing: How its end is marked: ``length``, ``chunks`` or ``none``.
+        body: The body.
+
+    Returns:
+        The bytes.
+    """
+    if framing == 'length':
+        return b'%sContent-Length: %d\r\nX-A: b\r\n\r\n%s' % (
+            HEAD,
+            len(body),
+            body,
+        )
+    if framing == 'none':
+        return b'%sX-A: b\r\n\r\n%s' % (HEAD, body)
+    return (
+        b'%sTransfer-Encoding: chunked\r\nX-A: b\r\n\r\n'
+        b'4;name=1\r\n%s\r\n%x\r\n%s\r\n0\r\nX-T: c\r\n\r\n'
+        % (HEAD, body[:4], len(body) - 4, body[4:])
+    )
+
+
+# An engine stopped in the middle of its answer's head and closed; clients got
+# a 200 with an empty or short body, framed as whole.
+@pytest.mark.parametrize(
+    ('framing', 'interim'),
+    [
+        ('length', b''),
+        ('chunks', b''),
+        ('none', b''),
+        ('length', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        ('chunks', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    ],
+)
+@pytest.mark.parametrize('backend_type', BODIES_BY_TYPE)
+def test_answer_cut_anywhere_is_not_accepted(
+    framing: str, interim: bytes, backend_type: type[configuration.Backend]
+) -> None:
+    """Without a length only the head and the stream's mark show a cut."""
+    body = BODIES_BY_TYPE[backend_type]
+    whole = interim + make_framed_answer(framing, body)
+    assert read_answer(backend_type, ClosingBackend(whole))[-1].final
+    if framing == 'none':
+        whole = whole.removesuffix(body)
+    for cut, _ in enumerate(whole):
+        with pytest.raises(error.ConnectionLostError):
+            read_answer(backend_type, ClosingBackend(whole[:cut]))
+
+
 @pytest.mark.parametrize('number', [b'x', b'', b'1.5', b'-1', b'9' * 5000])
 def test_odd_number_of_an_event_ends_the_stream(number: bytes) -> None:
     """Another error would not be handled as that of a back end."""
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -121,6 +121,14 @@
         'pimentoway/backends/exchange_process_test.py',
         _REAL,
     ),
+    guard_text.Guard(
+        'an answer that ends early is not whole',
+        'core/connection.py',
+        'if not self._reply.message_complete:',
+        'if self._reply is None:',
+        'pimentoway/backends/exchange_process_test.py',
+        _REAL,
+    ),
     guard_text.Guard(
         'configuration never goes back',
         'ops/view.py',
