Answer all requests before a draining node ends

In a planned stop, a request that came late in the grace was passed on and cut without an answer when the process ended, also one that may not be repeated; so were requests in progress and in the queue at that time. A request had the time of its own limit, whatever was left of the node.

While the node drains, the time limit of a request ends 0.2 s before the drain does, for its back end and the broker too; a request still in progress then ends with an error response: 504 if a back end may have run it, 503 with Retry-After if none did. A response that has begun is broken off without its end, as before. A request that is read after the node has stopped accepting connections, and that the targets of its route and its tokens let expect to last longer than the node, is refused as not run, with Connection: close.

--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -2,10 +2,14 @@
 
 import math
 
+import gevent
+import greenlet
+
 from pimentoway.backends import channel, liveness
 from pimentoway.callers import (
     backend_attempt,
     connection,
+    drain,
     request_context,
     response_writer,
 )
@@ -40,6 +44,7 @@
 
     Attributes:
         active: The requests that are being served.
+        drain_limit: The time that requests get while the node drains.
     """
 
     def __init__(
@@ -61,6 +66,8 @@
             dialect: Decodes and encodes the platform's HTTP headers.
         """
         self.active = 0
+        self.drain_limit = drain.DrainLimit()
+        self._tasks: set[greenlet.greenlet] = set()
         self._zone = zone
         self._view = registry_view
         self._slots = slots
@@ -96,11 +103,23 @@
         arrived = clock.read_monotonic()
         writer = response_writer.ResponseWriter(caller, raw)
         request = self._dialect.read_request(raw)
+        task = greenlet.getcurrent()
         self.active += 1
+        self._tasks.add(task)
         try:
             return self._serve_decoded(request, writer, arrived)
         finally:
             self.active -= 1
+            self._tasks.discard(task)
+
+    def interrupt(self) -> None:
+        """End the requests that are being served with error responses.
+
+        A response that has begun is broken off. The callers of other requests
+        learn whether a back end may have run them.
+        """
+        for task in self._tasks:
+            gevent.kill(task, drain.make_interruption())
 
     def _serve_decoded(
         self,
@@ -144,13 +163,15 @@
         )
         if math.isinf(timeout):
             timeout = DEFAULT_TIMEOUT_SECONDS
+        end = arrived + timeout
+        self.drain_limit.check_expected_end(route, request, end)
         return request_context.RequestContext(
             request=request,
             route=route,
             service=route.choose_service(request.request_id),
             customer=customer,
             arrived=arrived,
-            deadline=arrived + timeout - RESPONSE_MARGIN_SECONDS,
+            deadline=min(end, self.drain_limit.end) - RESPONSE_MARGIN_SECONDS,
             writer=writer,
         )
 
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -48,6 +48,10 @@
 #: Seconds before the end of the grace period at which draining stops.
 GRACE_MARGIN_SECONDS = 0.4
 
+#: Seconds before draining stops at which requests in progress are interrupted,
+#: so that their callers get error responses instead of a closed connection.
+INTERRUPT_SECONDS = 0.2
+
 #: Seconds between checks whether a draining node has no connections left.
 DRAIN_CHECK_SECONDS = 0.05
 
@@ -194,8 +198,9 @@
     def drain(self) -> None:
         """Close idle connections and wait for requests in progress.
 
-        New connections are accepted for ``ACCEPT_SECONDS`` more. Returns when
-        no caller is connected, or shortly before the grace period ends.
+        New connections are accepted for ``ACCEPT_SECONDS`` more. Requests that
+        take too long get error responses. Returns when no caller is connected,
+        or shortly before the grace period ends.
         """
         self.leaving = True
         end = (
@@ -203,6 +208,8 @@
             + self.settings.bounds.grace
             - GRACE_MARGIN_SECONDS
         )
+        drain_limit = self._forwarder.drain_limit
+        drain_limit.end = end - INTERRUPT_SECONDS
         _LOG.write('stops.', active=self._forwarder.active)
         # In the background, as a store that does not answer must not delay the
         # shutdown.
@@ -211,11 +218,10 @@
             caller.closing = not caller.idle
         gevent.sleep(ACCEPT_SECONDS)
         self._caller_server.close()
-        while clock.read_monotonic() < end and self._callers:
-            for caller in tuple(self._callers):
-                caller.closing = not caller.idle
-                caller.close_idle()
-            gevent.sleep(DRAIN_CHECK_SECONDS)
+        drain_limit.closed = True
+        self._close_callers(drain_limit.end)
+        self._forwarder.interrupt()
+        self._close_callers(end)
         _LOG.write('finished draining.', active=self._forwarder.active)
 
     def reload(self) -> None:
@@ -240,6 +246,13 @@
             'read the settings again; changes need a restart.', changed=changed
         )
 
+    def _close_callers(self, end: float) -> None:
+        while clock.read_monotonic() < end and self._callers:
+            for caller in tuple(self._callers):
+                caller.closing = not caller.idle
+                caller.close_idle()
+            gevent.sleep(DRAIN_CHECK_SECONDS)
+
     def _handle_caller(self, sock: object, address: tuple) -> None:
         if (
             len(self._callers)
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -5,6 +5,7 @@
 _EDGE = 'pimentoway/platform/edge_process_test.py'
 _BROKER = 'pimentoway/ops/broker_test.py'
 _PARTS = 'pimentoway/ops/partledger_test.py'
+_DRAIN = 'pimentoway/platform/drain_process_test.py'
 _REAL = 'real'
 
 GUARDS = (
@@ -129,6 +130,30 @@
         'pimentoway/backends/exchange_process_test.py',
         _REAL,
     ),
+    guard_text.Guard(
+        'a draining node answers before it ends',
+        'tools/edge.py',
+        '        self._forwarder.interrupt()\n',
+        '',
+        _DRAIN,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a late request has the time of its node',
+        'callers/forward.py',
+        'deadline=min(end, self.drain_limit.end) - RESPONSE_MARGIN_SECONDS,',
+        'deadline=end - RESPONSE_MARGIN_SECONDS,',
+        _DRAIN,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a late request that would outlast its node is not run',
+        'callers/drain.py',
+        'if self.closed and min(expected, time_limit) > self.end:',
+        'if self.closed and min(expected, time_limit) < 0:',
+        _DRAIN,
+        _REAL,
+    ),
     guard_text.Guard(
         'configuration never goes back',
         'ops/view.py',
