Bound the length of texts in entries of back ends and nodes

An entry with a zone, version or name of 100,000 characters was taken as good: each node kept it, wrote it to its log and sent it on, and requests would carry the name in a header. Texts of back ends, nodes, blocks and rollouts are at most 1024 characters long.

3 added cases of record_test failed before.

--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -50,6 +50,10 @@
 
 _DIGEST = re.compile('[0-9a-f]{1,16}')
 
+#: The most characters of a name or address in the record of a back end, a node,
+#: a block or a rollout: nodes keep, log and send them.
+MAX_TEXT = 1024
+
 Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Number = typing.Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
@@ -59,7 +63,9 @@
     float, msgspec.Meta(ge=-MAX_COLD_MILLISECONDS, le=MAX_COLD_MILLISECONDS)
 ]
 BlockSeconds = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_BLOCK_SECONDS)]
-NonEmptyText = typing.Annotated[str, msgspec.Meta(min_length=1)]
+NonEmptyText = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=MAX_TEXT)
+]
 
 
 class _Pascal(msgspec.Struct, frozen=True, rename='pascal'):
--- a/pimentoway/platform/record_test.py
+++ b/pimentoway/platform/record_test.py
@@ -125,6 +125,9 @@
         {'Slots': 10**9},
         {'Sequence': 10**26},
         {'born': 10**26},
+        # Each node would keep it, log it and send it on.
+        {'Zone': 'z' * 100_000},
+        {'Version': 'v' * 100_000},
         # Nothing would be sent to the back end while it counts as cold.
         {'ColdRemainingMs': 1e305},
         {'ColdRemainingMs': -1e305},
@@ -136,7 +139,7 @@
         decode(registry.Kind.engines, {**SERVER, **change})
 
 
-@pytest.mark.parametrize('name', ['a\r\nX: y', 'a\x00', '\u0661'])
+@pytest.mark.parametrize('name', ['a\r\nX: y', 'a\x00', '\u0661', 'a' * 5000])
 def test_engine_name_that_fits_no_header_fails(name: str) -> None:
     """A request to the back end would carry it, with lines of its own."""
     stored = record.StoredObject(
--- a/pimentoway/platform/validation.py
+++ b/pimentoway/platform/validation.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+#: The most characters of a name.
+MAX_NAME = 1024
+
 _PORT = re.compile('[1-9][0-9]{0,4}')
 _MAX_PORT = 65535
 
@@ -16,9 +19,10 @@
         name: The name.
 
     Raises:
-        ValidationError: If it holds characters that a header can't.
+        ValidationError: If it is too long for a header or holds characters
+            that a header can't.
     """
-    if not (name.isascii() and name.isprintable()):
+    if not (name.isascii() and name.isprintable() and len(name) <= MAX_NAME):
         raise msgspec.ValidationError(f'Name is {name!r}')
 
 
