Test answers cut in their head or a chunk through a whole node

An engine that stops within its answer's head was reported to end as a 200 with an empty or short body. On the platform's path 72 cases (9 cuts, four routes, length and chunks) and 10 cuts in or before the first chunk gave no success over real sockets. No code changed but the scripted engine's.

--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -53,6 +53,8 @@
         endless: Bytes that are sent again and again after the body, until the
             peer closes the connection.
         endless_head: Whether ``endless`` comes before the end of the head.
+        cut_before: The text of the head before which the connection is closed;
+            empty to send the whole head.
     """
 
     status: int = 200
@@ -69,6 +71,7 @@
     silent: bool = False
     endless: bytes = b''
     endless_head: bool = False
+    cut_before: bytes = b''
 
 
 class ScriptedEngine:
@@ -157,11 +160,8 @@
         if script.foreign:
             sock.sendall(_make_foreign_answer())
         gevent.sleep(script.pause)
-        head = self._make_head(request, script)
-        if script.endless_head:
-            sock.sendall(head.removesuffix(b'\r\n'))
-            return _send_without_end(sock, script.endless)
-        sock.sendall(head)
+        if not self._send_head(sock, request, script):
+            return False
         for number, piece in enumerate(script.body):
             ended = script.close_after == number
             if ended or not self._send_piece(sock, script, piece):
@@ -175,6 +175,32 @@
             _reset_on_close(sock)
         return not (script.unframed or script.reset)
 
+    def _send_head(
+        self,
+        sock: gevent_socket.socket,
+        request: message.Request,
+        script: Script,
+    ) -> bool:
+        """Send the head, or the part of it that the script tells.
+
+        Args:
+            sock: The connection.
+            request: The request.
+            script: The answer.
+
+        Returns:
+            Whether the answer goes on.
+        """
+        head = self._make_head(request, script)
+        if script.cut_before:
+            sock.sendall(head[: head.index(script.cut_before)])
+            return False
+        if script.endless_head:
+            sock.sendall(head.removesuffix(b'\r\n'))
+            return _send_without_end(sock, script.endless)
+        sock.sendall(head)
+        return True
+
     def _send_piece(
         self, sock: gevent_socket.socket, script: Script, piece: bytes
     ) -> bool:
--- a/pimentoway/platform/stray_process_test.py
+++ b/pimentoway/platform/stray_process_test.py
@@ -164,3 +164,51 @@
     body = task.get(timeout=edge_process_test.TIMEOUT_SECONDS)[2]
     assert body.count(b'data: piece') == len(EVENTS)
     assert not two.requests
+
+
+# An engine stopped in the middle of its answer's head and closed; clients got
+# a 200 with an empty or short body, framed as whole.
+@pytest.mark.parametrize('chunked', [False, True])
+@pytest.mark.parametrize(
+    'path', ['/unsafe/x', '/safe/x', '/stream/x', '/resumable/x']
+)
+@pytest.mark.parametrize(
+    'cut_before',
+    [
+        b'HTTP',
+        b'/1.1',
+        b' 200',
+        b'Status',
+        b'\r\nPimentoway-Attempt-Id',
+        b'Attempt-Id',
+        b'Pimentoway-Response-Seal',
+        b'Seal',
+        b'\r\n\r\n',
+    ],
+)
+def test_answer_cut_in_its_head_is_no_success(
+    cut_before: bytes, path: str, chunked: bool
+) -> None:
+    """An error, and no part of an answer, reaches the caller."""
+    engine = scripted_engine.ScriptedEngine(
+        'e1', Script(body=EVENTS, chunked=chunked, cut_before=cut_before)
+    )
+    harness = edge_process_test.NodeHarness(engine)
+    status, _, rest = harness.call(path)
+    assert status >= 500
+    assert EVENTS[0] not in rest
+    assert engine.requests
+
+
+@pytest.mark.parametrize('path', ['/unsafe/x', '/stream/x'])
+@pytest.mark.parametrize('cut', [b'', b'1', b'1;a=', b'17\r', b'17\r\nid: 1'])
+def test_answer_cut_in_a_chunk_is_no_success(cut: bytes, path: str) -> None:
+    """The length of the first chunk, or the chunk, is incomplete."""
+    script = Script(
+        body=(cut,), headers=('Transfer-Encoding: chunked',), unframed=True
+    )
+    engine = scripted_engine.ScriptedEngine('e1', script)
+    status, _, rest = edge_process_test.NodeHarness(engine).call(path)
+    assert status >= 500
+    assert b'id: 1' not in rest
+    assert engine.requests
