--- a/pimentoway/ops/restoration_test.py
+++ b/pimentoway/ops/restoration_test.py
@@ -280,7 +280,9 @@
     assert ledger.is_blocked([(BLOCK.service, BLOCK.part)])
     assert not ledger.is_blocked([(ended.service, ended.part)])
     source = WritesRegistry()
-    task = gevent.spawn(rewriter.Rewriter(source, node_view, lambda: leads).run)
+    task = gevent.spawn(
+        rewriter.Rewriter(source, node_view, ledger, lambda: leads).run
+    )
     paused_loop.advance(rewriter.MIN_FOLLOWER_SECONDS - 0.1)
     written = [f'put {BLOCK.name}', f'remove {ended.name}']
     assert source.calls == written * leads
@@ -298,7 +300,9 @@
     write(node_view, 1, 50, Kind.rollouts, reverted)
     write(node_view, 2, 40, Kind.rollouts, _date(ORDER, 2))
     source = WritesRegistry()
-    task = gevent.spawn(rewriter.Rewriter(source, node_view, bool).run)
+    task = gevent.spawn(
+        rewriter.Rewriter(source, node_view, partledger.PartLedger(), bool).run
+    )
     paused_loop.advance(rewriter.MAX_FOLLOWER_SECONDS + 1)
     task.kill()
     assert set(source.calls) == {'report reverted'}
--- a/pimentoway/ops/rewriter.py
+++ b/pimentoway/ops/rewriter.py
@@ -1,7 +1,7 @@
-"""Writes again what this system had written to a store that was restored.
+"""Writes blocks of prompt parts, and again what a restored store has lost.
 
-One node does so at once: the one whose broker most nodes use. The others do it
-later, each at another moment, if that node doesn't know what was lost.
+One node writes again at once: the one whose broker most nodes use. The others
+do so later, each at another moment, if that node doesn't know what was lost.
 """
 
 import collections
@@ -11,11 +11,11 @@
 import gevent
 
 from pimentoway.core import clock, deployment, error, log, registry
-from pimentoway.ops import view
+from pimentoway.ops import partledger, view
 
-#: Seconds between two checks for lost records, and the pause after a call to
-#: the store that failed.
-CHECK_SECONDS = 0.2
+#: Seconds between two checks for records to write, and the pause after a call
+#: to the store that failed.
+CHECK_SECONDS = 0.1
 RETRY_SECONDS = 0.5
 
 #: The range of seconds for which other nodes wait for the leader.
@@ -32,6 +32,7 @@
         self,
         source: registry.Registry,
         registry_view: view.View,
+        parts: partledger.PartLedger,
         is_leader: collections.abc.Callable[[], bool],
     ) -> None:
         """Set up the task; ``run`` starts it.
@@ -39,10 +40,12 @@
         Args:
             source: The registry in the store.
             registry_view: The records as this node knows them.
+            parts: The blocks of this node's broker.
             is_leader: Tells whether this node writes before the others do.
         """
         self._source = source
         self._view = registry_view
+        self._parts = parts
         self._is_leader = is_leader
         self._follower_seconds = random.uniform(
             MIN_FOLLOWER_SECONDS, MAX_FOLLOWER_SECONDS
@@ -50,23 +53,43 @@
         self._unreported_since: dict[str, float] = {}
 
     def run(self) -> None:
-        """Write lost records again, for ever."""
+        """Write what the store should have, for ever."""
         while True:
             gevent.sleep(CHECK_SECONDS)
             leads = self._is_leader()
             try:
-                self._rewrite_blocks(0 if leads else self._follower_seconds)
-                if leads:
-                    self._remove_blocks()
-                else:
-                    self._report_states()
+                self._write(leads)
             except error.PlatformError as fault:
                 _LOG.write(
-                    'writing a lost record again failed, trying again.',
+                    'writing a record failed, trying again.',
                     reason=str(fault),
                 )
                 gevent.sleep(RETRY_SECONDS)
 
+    def _write(self, leads: bool) -> None:
+        self._store_blocks()
+        self._rewrite_blocks(0 if leads else self._follower_seconds)
+        if leads:
+            self._remove_blocks()
+        else:
+            self._report_states()
+
+    def _store_blocks(self) -> None:
+        unstored = self._parts.unstored_by_part
+        for part, block in list(unstored.items()):
+            if block.seconds:
+                self._source.put_part_block(block)
+            else:
+                self._remove_block(block)
+            if unstored[part] is block:
+                unstored.pop(part)
+
+    def _remove_block(self, block: deployment.PartBlock) -> None:
+        try:
+            self._source.remove_part_block(block)
+        except error.PlatformRefusedError:
+            _LOG.write('the block was removed before.', part=block.name)
+
     def _rewrite_blocks(self, seconds: float) -> None:
         kind = registry.Kind.part_blocks
         for name in self._view.retained.list_held(kind, seconds):
@@ -78,7 +101,7 @@
     def _remove_blocks(self) -> None:
         outdated = self._view.retained.outdated_blocks
         for name, block in list(outdated.items()):
-            self._source.remove_part_block(block)
+            self._remove_block(block)
             outdated.pop(name, None)
             _LOG.write('removed a block again that had ended.', part=name)
 
--- a/pimentoway/platform/crash_process_test.py
+++ b/pimentoway/platform/crash_process_test.py
@@ -1,6 +1,5 @@
 """Tests of prompt parts that crash back ends, over real sockets."""
 
-import dataclasses
 import itertools
 
 import gevent
@@ -279,9 +278,7 @@
     harness = edge_process_test.NodeHarness(*engines)
     harness.configure(2, ROUTES)
     store = RecordingRegistry()
-    harness.node._platform = dataclasses.replace(
-        harness.node._platform, registry=store
-    )
+    harness.node._rewriter._source = store
     Traffic(harness, '/stream/x', 0).send_bad(2)
     gevent.sleep(2)
     return store.blocks[0]
--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -14,7 +14,7 @@
     metric,
     registry,
 )
-from pimentoway.platform import record
+from pimentoway.platform import record, store_answer
 
 #: The longest time to connect to the store.
 CONNECT_SECONDS = 0.5
@@ -61,26 +61,6 @@
 _LOG = log.Log('store')
 
 
-class _Page(msgspec.Struct, rename='pascal'):
-    entries: list[msgspec.Raw] = msgspec.field(
-        default_factory=list,
-        name='Items',
-    )
-    has_more: bool = False
-    store_revision: int = 0
-
-
-class _Event(msgspec.Struct, rename='pascal'):
-    removed: bool = False
-    object: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _WatchAnswer(msgspec.Struct, rename='pascal'):
-    store_revision: int = 0
-    # The only key that the store does not write in Pascal case.
-    events: list[_Event] = msgspec.field(default_factory=list, name='events')
-
-
 class PlatformRegistry(registry.Registry):
     """The registry on the platform's store, over HTTP.
 
@@ -115,8 +95,9 @@
         changes: list[registry.Change] = []
         revision = 0
         for _ in range(MAX_PAGES):
-            after = changes[-1].name if changes else ''
-            era, page = self._read_page(kind, after)
+            # An unreadable name can't be used to continue.
+            names = [change.name for change in changes if change.name]
+            era, page = self._read_page(kind, names[-1] if names else '')
             # A watch from the first page's revision also reports what changed
             # while the later pages were read.
             revision = revision or registry.join_revision(
@@ -126,9 +107,8 @@
                 raise error.PlatformUnavailableError(
                     'the store was restored between two pages', 'list'
                 )
-            changes.extend(
-                _decode_object(kind, raw, era) for raw in page.entries
-            )
+            decoder = store_answer.ObjectDecoder(kind, era)
+            changes.extend(decoder.decode(raw) for raw in page.entries)
             if not page.has_more:
                 return registry.Listing(revision, _collect_records(changes))
         raise error.PlatformError(
@@ -153,7 +133,7 @@
         milliseconds = int(seconds * MILLISECONDS)
         path = f'{_make_path(kind)}?Watch={number}&WaitMs={milliseconds}'
         answer = self._call_in_era(path, era, seconds)
-        watch_answer = _decode(answer.body, _WatchAnswer)
+        watch_answer = store_answer.decode_watch(answer.body)
         reached = registry.join_revision(era, watch_answer.store_revision)
         return registry.Changes(
             max(revision, reached),
@@ -236,11 +216,13 @@
         except error.PlatformConflictError:
             self._call('PUT', _make_path(kind, name), body)
 
-    def _read_page(self, kind: registry.Kind, after: str) -> tuple[int, _Page]:
+    def _read_page(
+        self, kind: registry.Kind, after: str
+    ) -> tuple[int, store_answer.Page]:
         # Despite its name, AfterRev takes the name of the last object seen.
         query = f'?{parse.urlencode({"AfterRev": after})}' if after else ''
         answer = self._call('GET', f'{_make_path(kind)}{query}')
-        return self._read_era(answer), _decode(answer.body, _Page)
+        return self._read_era(answer), store_answer.decode_page(answer.body)
 
     def _call_in_era(
         self, path: str, era: int, seconds: float
@@ -346,15 +328,6 @@
     raise error.PlatformAmbiguousError(text, step, peer)
 
 
-def _decode(body: bytes, schema: type) -> object:
-    try:
-        return msgspec.json.decode(body, type=schema)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
-        raise error.PlatformAmbiguousError(
-            f'cannot decode the answer of the store: {fault}', 'decode'
-        ) from fault
-
-
 def _collect_records(
     changes: list[registry.Change],
 ) -> dict[str, registry.Record]:
@@ -366,41 +339,14 @@
 
 
 def _decode_events(
-    kind: registry.Kind, events: list[_Event], era: int
+    kind: registry.Kind, events: list[store_answer.Event], era: int
 ) -> tuple[registry.Change, ...]:
+    decoder = store_answer.ObjectDecoder(kind, era)
     changes = []
     for event in events:
-        change = _decode_object(kind, event.object, era)
+        change = decoder.decode(event.object)
         if event.removed:
             change = registry.Change(change.name, None)
         if change.name:
             changes.append(change)
     return tuple(changes)
-
-
-def _decode_object(
-    kind: registry.Kind, raw: bytes, era: int
-) -> registry.Change:
-    # An object that can't be decoded must not hide the others. Its record
-    # counts as removed.
-    name = ''
-    try:
-        name = msgspec.json.decode(raw, type=_NamedObject).metadata.name
-        stored = msgspec.json.decode(raw, type=record.StoredObject)
-        return registry.Change(name, record.decode(kind, stored, era))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
-        _LOG.write(
-            'cannot decode an object, its record is dropped.',
-            kind=kind.value,
-            name=name,
-            reason=str(fault),
-        )
-        return registry.Change(name, None)
-
-
-class _NamedMetadata(msgspec.Struct, rename='pascal'):
-    name: str
-
-
-class _NamedObject(msgspec.Struct, rename='pascal'):
-    metadata: _NamedMetadata
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -40,11 +40,6 @@
 #: Seconds between two sweeps of idle connections and lost nodes.
 SWEEP_SECONDS = 1.0
 
-#: Seconds between two checks for blocks that the store does not have yet, and
-#: the pause after a write that failed.
-PART_BLOCK_SECONDS = 0.1
-PART_BLOCK_RETRY_SECONDS = 0.5
-
 #: Seconds between two checks of the rollouts, and the pause after a report
 #: that failed.
 ROLLOUT_SECONDS = 0.15
@@ -56,6 +51,10 @@
 #: Seconds before the end of the grace period at which draining stops.
 GRACE_MARGIN_SECONDS = 0.4
 
+#: Seconds before draining stops at which requests in progress are interrupted,
+#: so that their callers get error responses instead of a closed connection.
+INTERRUPT_SECONDS = 0.2
+
 #: Seconds between checks whether a draining node has no connections left.
 DRAIN_CHECK_SECONDS = 0.05
 
@@ -152,7 +151,7 @@
             self._election.should_watch_store,
         )
         self._rewriter = rewriter.Rewriter(
-            platform.registry, self.view, self._is_leader
+            platform.registry, self.view, self.broker.parts, self._is_leader
         )
         self._channels = channel.ChannelPool(platform.dialect)
         self._forwarder = forward.Forwarder(
@@ -185,7 +184,6 @@
             self._run_ticks,
             self._run_sweeps,
             self._run_rollouts,
-            self._run_part_blocks,
             self._rewriter.run,
         ):
             task.keep_running(function)
@@ -206,8 +204,9 @@
     def drain(self) -> None:
         """Close idle connections and wait for requests in progress.
 
-        New connections are accepted for ``ACCEPT_SECONDS`` more. Returns when
-        no caller is connected, or shortly before the grace period ends.
+        New connections are accepted for ``ACCEPT_SECONDS`` more. Requests that
+        take too long get error responses. Returns when no caller is connected,
+        or shortly before the grace period ends.
         """
         self.leaving = True
         end = (
@@ -215,6 +214,8 @@
             + self.settings.bounds.grace
             - GRACE_MARGIN_SECONDS
         )
+        drain_limit = self._forwarder.drain_limit
+        drain_limit.end = end - INTERRUPT_SECONDS
         _LOG.write('stops.', active=self._forwarder.active)
         # In the background, as a store that does not answer must not delay the
         # shutdown.
@@ -223,11 +224,10 @@
             caller.closing = not caller.idle
         gevent.sleep(ACCEPT_SECONDS)
         self._caller_server.close()
-        while clock.read_monotonic() < end and self._callers:
-            for caller in tuple(self._callers):
-                caller.closing = not caller.idle
-                caller.close_idle()
-            gevent.sleep(DRAIN_CHECK_SECONDS)
+        drain_limit.closed = True
+        self._close_callers(drain_limit.end)
+        self._forwarder.interrupt()
+        self._close_callers(end)
         _LOG.write('finished draining.', active=self._forwarder.active)
 
     def reload(self) -> None:
@@ -252,6 +252,13 @@
             'read the settings again; changes need a restart.', changed=changed
         )
 
+    def _close_callers(self, end: float) -> None:
+        while clock.read_monotonic() < end and self._callers:
+            for caller in tuple(self._callers):
+                caller.closing = not caller.idle
+                caller.close_idle()
+            gevent.sleep(DRAIN_CHECK_SECONDS)
+
     def _handle_caller(self, sock: object, address: tuple) -> None:
         if (
             len(self._callers)
@@ -457,33 +464,6 @@
             state=state.value,
         )
 
-    def _run_part_blocks(self) -> None:
-        unstored = self.broker.parts.unstored_by_part
-        while True:
-            gevent.sleep(PART_BLOCK_SECONDS)
-            for part, block in list(unstored.items()):
-                if self._store_part_block(block) and unstored[part] is block:
-                    unstored.pop(part)
-
-    def _store_part_block(self, block: deployment.PartBlock) -> bool:
-        store = self._platform.registry
-        write = (
-            store.put_part_block if block.seconds else store.remove_part_block
-        )
-        try:
-            write(block)
-        except error.PlatformRefusedError:
-            _LOG.write('the block was removed before.', part=block.name)
-        except error.PlatformError as fault:
-            _LOG.write(
-                'storing the block of a part of prompts failed, trying again.',
-                part=block.name,
-                reason=str(fault),
-            )
-            gevent.sleep(PART_BLOCK_RETRY_SECONDS)
-            return False
-        return True
-
 
 def _serve_stream(
     address: str, handle: collections.abc.Callable
