Heed back ends that announce that they leave or want no requests

Callers' requests reached back ends that had said in an answer that they leave, or that had turned a request away with a time for which they want no others. Neither header was read.

The adapter decodes both headers of every answer, also of a liveness check, and ignores values that can't be used, which are logged. `ops.notice` keeps what was announced, by the run of the back end (name, address, start): leaving for all nodes, a pause for the node that was turned away. The broker grants no slot against it, and a node checks a grant with it, too. A node reports a notice as soon as the head of the answer is read, in a report with number 0 that brokers of earlier releases ignore, and lists those that it knows when it attaches to a broker. A notice ends with the run, a leaving one also when the entry in the store turns from draining to ready.

--- a/pimentoway/backends/liveness.py
+++ b/pimentoway/backends/liveness.py
@@ -5,25 +5,47 @@
 further connections.
 """
 
+import collections
+import contextlib
+
 import gevent
+from gevent import socket as gevent_socket
 
-from pimentoway.core import connection, deployment, error
+from pimentoway.core import clock, connection, deployment, error, message
 
 #: Seconds for connecting and for the answer. A back end that is only slow or
 #: unreachable counts as running.
 CHECK_SECONDS = 0.25
 
+#: Maximum bytes of one read from a connection.
+RECEIVE_BYTES = 65_536
+
+AnswerHandler = collections.abc.Callable[
+    [deployment.Engine, message.Answer], None
+]
+
 
 class LivenessChecker:
     """Checks back ends, each at most once at a time."""
 
-    def __init__(self, probe: bytes) -> None:
-        """Set the request that a running back end answers at once.
+    def __init__(
+        self,
+        probe: bytes,
+        may_use: collections.abc.Callable[[deployment.Engine], bool],
+        on_answer: AnswerHandler,
+    ) -> None:
+        """Set how back ends are checked.
 
         Args:
-            probe: The request, encoded.
+            probe: The request that a running back end answers at once,
+                encoded.
+            may_use: Tells whether a back end may get a request now; one that
+                may not counts as running.
+            on_answer: Called with the answers, of which the heads were read.
         """
         self._probe = probe
+        self._may_use = may_use
+        self._on_answer = on_answer
         self._check_by_address: dict[str, gevent.Greenlet] = {}
 
     def has_crashed(self, engine: deployment.Engine) -> bool:
@@ -37,24 +59,26 @@
         """
         check = self._check_by_address.get(engine.address)
         if check is None:
-            check = gevent.spawn(is_refusing, engine.address, self._probe)
+            if not self._may_use(engine):
+                return False
+            check = gevent.spawn(self._check, engine)
             self._check_by_address[engine.address] = check
             check.rawlink(
                 lambda ended: self._check_by_address.pop(engine.address)
             )
         return check.get()
 
+    def _check(self, engine: deployment.Engine) -> bool:
+        reader = message.AnswerReader()
+        refuses = _probe(engine.address, self._probe, reader)
+        if _has_head(reader):
+            self._on_answer(engine, reader.answers[0])
+        return refuses
 
-def is_refusing(address: str, probe: bytes) -> bool:
-    """Tell whether a peer refuses or closes a new connection.
-
-    Args:
-        address: The peer, as ``ip:port``.
-        probe: The request to send.
 
-    Returns:
-        Whether it does; false also if it does nothing in ``CHECK_SECONDS``.
-    """
+def _probe(address: str, probe: bytes, reader: message.AnswerReader) -> bool:
+    # Returns whether the peer refuses or closes a new connection; false also
+    # if it does nothing in CHECK_SECONDS.
     try:
         sock = connection.connect(address, CHECK_SECONDS)
     except error.ConnectError as fault:
@@ -63,8 +87,29 @@
         sock.settimeout(CHECK_SECONDS)
         try:
             sock.sendall(probe)
-            return not sock.recv(1)
+            received = sock.recv(RECEIVE_BYTES)
         except TimeoutError:
             return False
         except OSError:
             return True
+        # Any byte shows that the peer runs, whatever follows.
+        with contextlib.suppress(OSError, error.ConnectionLostError):
+            _read_head(sock, received, reader)
+        return not received
+
+
+def _read_head(
+    sock: gevent_socket.socket, received: bytes, reader: message.AnswerReader
+) -> None:
+    deadline = clock.read_monotonic() + CHECK_SECONDS
+    while received:
+        reader.feed(received)
+        remaining = deadline - clock.read_monotonic()
+        if _has_head(reader) or remaining <= 0:
+            return
+        sock.settimeout(remaining)
+        received = sock.recv(RECEIVE_BYTES)
+
+
+def _has_head(reader: message.AnswerReader) -> bool:
+    return bool(reader.answers) and reader.answers[0].head_complete
--- a/pimentoway/backends/liveness_process_test.py
+++ b/pimentoway/backends/liveness_process_test.py
@@ -9,7 +9,7 @@
 from gevent import socket as gevent_socket
 
 from pimentoway.backends import liveness
-from pimentoway.core import deployment
+from pimentoway.core import deployment, message
 
 PROBE = b'GET /load HTTP/1.1\r\n\r\n'
 
@@ -74,6 +74,25 @@
     return deployment.Engine('e', 's', address, 'z', 'v1', 6, False, 0, 1)
 
 
+def make_checker(
+    *heard: list[message.Answer], usable: bool = True
+) -> liveness.LivenessChecker:
+    """Make a checker.
+
+    Args:
+        *heard: Lists to which it adds the answers.
+        usable: Whether the back ends may get requests.
+
+    Returns:
+        The checker.
+    """
+    return liveness.LivenessChecker(
+        PROBE,
+        lambda engine: usable,
+        lambda engine, answer: [one.append(answer) for one in heard],
+    )
+
+
 @pytest.mark.parametrize(
     ('reply', 'crashed'),
     [(answer, False), (close, True), (stay_silent, False)],
@@ -83,7 +102,7 @@
     server = gevent_server.StreamServer(('127.0.0.1', 0), reply)
     server.start()
     engine = make_engine(f'127.0.0.1:{server.server_port}')
-    checker = liveness.LivenessChecker(PROBE)
+    checker = make_checker()
     assert checker.has_crashed(engine) == crashed
     server.stop()
     assert checker.has_crashed(engine)
@@ -97,8 +116,25 @@
     )
     server.start()
     engine = make_engine(f'127.0.0.1:{server.server_port}')
-    checker = liveness.LivenessChecker(PROBE)
+    checker = make_checker()
     checks = [gevent.spawn(checker.has_crashed, engine) for _ in range(6)]
     gevent.joinall(checks, raise_error=True)
     assert len(accepted) == 1
     assert not checker._check_by_address
+
+
+def test_answer_to_a_check_is_heard() -> None:
+    """It may announce that the back end leaves."""
+    server = gevent_server.StreamServer(('127.0.0.1', 0), answer)
+    server.start()
+    heard: list[message.Answer] = []
+    engine = make_engine(f'127.0.0.1:{server.server_port}')
+    assert not make_checker(heard).has_crashed(engine)
+    assert [answered.status for answered in heard] == [503]
+
+
+def test_unusable_back_end_is_not_checked() -> None:
+    """It wants no requests, and counts as running without one."""
+    engine = make_engine('127.0.0.1:1')
+    assert make_checker().has_crashed(engine)
+    assert not make_checker(usable=False).has_crashed(engine)
--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -4,7 +4,11 @@
 import math
 
 from pimentoway.backends import channel, liveness
-from pimentoway.callers import request_context, response_writer
+from pimentoway.callers import (
+    notice_reader,
+    request_context,
+    response_writer,
+)
 from pimentoway.core import (
     call,
     clock,
@@ -54,12 +58,14 @@
         channels: The connections to back ends.
         dialect: Decodes and encodes the platform's HTTP headers.
         liveness_checker: Tells crashes from broken connections.
+        notices: Reports what back ends announce of themselves.
     """
 
     slots: slotclient.SlotClient
     channels: channel.ChannelPool
     dialect: call.Dialect
     liveness_checker: liveness.LivenessChecker
+    notices: notice_reader.NoticeReader
 
 
 class BackendAttempt:
@@ -157,6 +163,7 @@
         except error.ConnectionLostError as fault:
             raise self._handle_cut(fault) from fault
         self._metadata = metadata
+        self._dependencies.notices.read(self._engine, metadata.notices)
         context.framing = response.framing
         return response
 
--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -6,6 +6,7 @@
 from pimentoway.callers import (
     backend_attempt,
     connection,
+    notice_reader,
     request_context,
     response_writer,
 )
@@ -65,11 +66,15 @@
         self._view = registry_view
         self._slots = slots
         self._dialect = dialect
+        notices = notice_reader.NoticeReader(slots, dialect)
         self._dependencies = backend_attempt.Dependencies(
             slots,
             channels,
             dialect,
-            liveness.LivenessChecker(dialect.liveness_probe),
+            liveness.LivenessChecker(
+                dialect.liveness_probe, slots.may_use, notices.read_answer
+            ),
+            notices,
         )
 
     def read_limits(self) -> deployment.CallerLimits:
@@ -244,8 +249,8 @@
         name = self._slots.acquire_slot(slot_request)
         context.queue_seconds += clock.read_monotonic() - now
         engine = self._view.engines_by_name.get(name)
-        if engine is None or not self._view.is_usable(engine):
-            # The broker's view of the registry can be older than this node's.
+        if engine is None or not self._slots.may_use(engine):
+            # The broker can know less of the back end than this node does.
             context.avoided = (*context.avoided, name)
             return slot_request, None
         return slot_request, engine
--- a/pimentoway/core/call.py
+++ b/pimentoway/core/call.py
@@ -121,6 +121,23 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Notices:
+    """What a back end announces of itself in an answer.
+
+    Attributes:
+        leaving: Whether it is shutting down and wants no new requests.
+        pause_seconds: How long it wants no request from this node, after it
+            turned one away; 0 if it states no time.
+        unreadable: The values of notices that are ignored, shortened; '' if
+            all were read.
+    """
+
+    leaving: bool = False
+    pause_seconds: float = 0
+    unreadable: str = ''
+
+
 @dataclasses.dataclass(frozen=True)
 class AnswerMetadata:
     """What the headers of an answer tell the node itself.
@@ -135,6 +152,7 @@
             ``None`` if unknown.
         cold_seconds: How long the back end remains cold; ``None`` if unknown.
         encoded: Whether the body has a content encoding, such as gzip.
+        notices: What the back end announces of itself.
     """
 
     request_id: str
@@ -144,6 +162,7 @@
     idle_seconds: float | None
     cold_seconds: float | None
     encoded: bool
+    notices: Notices = Notices()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pimentoway/core/metric.py
+++ b/pimentoway/core/metric.py
@@ -65,6 +65,13 @@
     ['backend'],
 )
 
+ENGINE_NOTICES = prometheus_client.Counter(
+    'pimentoway_engine_notices',
+    'Answers of back ends that announce that they leave, that they want no '
+    'requests for some time, or something unreadable.',
+    ['notice'],
+)
+
 SLOT_DECISIONS = prometheus_client.Counter(
     'pimentoway_slot_decisions',
     'Slots granted and refused by this broker, by tier and by the estimated '
--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -245,6 +245,7 @@
                 next(self._link_numbers),
                 self._slots.list_running(),
                 self._slots.list_usage(),
+                self._slots.list_notices(),
             ),
         )
         _LOG.write(
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -53,6 +53,7 @@
             highest number is the one in use.
         running: The grants that the node still uses.
         usage: The node's recent use of the quotas.
+        notices: What back ends announced of themselves, as the node knows.
     """
 
     node: str
@@ -60,6 +61,7 @@
     number: int
     running: list[slot.ActiveGrant]
     usage: list[slot.QuotaUsage]
+    notices: tuple[slot.EngineNotice, ...] = ()
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -58,6 +58,7 @@
         engines: The back ends of all services.
         rollouts: The rollouts of all services.
         parts: The evidence against parts of prompts.
+        notices: What the back ends announced of themselves.
     """
 
     def __init__(
@@ -71,7 +72,10 @@
             reply: Sends a grant or a refusal to the node named first.
         """
         self.engines = enginetable.EngineTable(registry_view)
-        self.rollouts = rolloutprogress.RolloutTable(bounds, registry_view)
+        self.notices = self.engines.notices
+        self.rollouts = rolloutprogress.RolloutTable(
+            bounds, registry_view, self.notices
+        )
         self._view = registry_view
         self._reply = reply
         self._queue_by_service: dict[str, waitqueue.WaitQueue] = (
@@ -82,6 +86,7 @@
         self._admission = admit.AdmissionControl(bounds, registry_view)
         self.parts = self._admission.parts
         registry_view.subscribe(self._on_view_change)
+        self.notices.subscribe(self._on_view_change)
         self._on_view_change(registry.Kind.engines)
 
     def submit(self, requester: str, request: slot.SlotRequest) -> None:
@@ -124,6 +129,8 @@
             requester: The node that sent it.
             report: The outcome.
         """
+        if report.notice:
+            self.notices.note(requester, report.notice)
         key = (requester, report.number)
         for service, queue in self._queue_by_service.items():
             queued = queue.remove(key)
@@ -140,6 +147,7 @@
         requester: str,
         runs: list[slot.ActiveGrant],
         used: list[slot.QuotaUsage],
+        notices: collections.abc.Iterable[slot.EngineNotice] = (),
     ) -> None:
         """Take over the runs of a node that uses this broker from now on.
 
@@ -147,7 +155,10 @@
             requester: The node.
             runs: Its runs in progress.
             used: Its quota usage in the current window.
+            notices: What back ends announced of themselves, as it knows.
         """
+        for notice in notices:
+            self.notices.note(requester, notice)
         # The node sends its unanswered slot requests again, and the broker
         # may not have noticed yet that the node's earlier link is closed.
         self._drop_waiting(requester)
@@ -227,6 +238,9 @@
         self, service: str, capacity: enginetable.Capacity
     ) -> None:
         queue = self._queue_by_service[service]
+        self.engines.drop_paused(
+            capacity, (requester for requester, _ in queue.waiting_by_key)
+        )
         skipped: list[routequeue.QueuedRequest] = []
         while capacity.free_engines:
             queued = queue.find_next(capacity.slots, capacity.free_slots)
@@ -242,12 +256,15 @@
         skipped: list[routequeue.QueuedRequest],
     ) -> bool:
         # Returns whether the next request in the queue should be tried.
-        state = self._choose_engine(queued.request, capacity.free_engines)
+        allowed = self.engines.list_allowed(
+            capacity, queued.key[0], queued.request.avoided
+        )
+        state = self._choose_engine(queued.request, allowed)
         if state:
             self._grant(queued, state)
             capacity.note_grant(state, self.engines.share)
             return True
-        if queued.request.avoided:
+        if queued.request.avoided or len(allowed) < len(capacity.free_engines):
             # The back ends that this request must avoid may suit the next one.
             self._queue_by_service[queued.request.service].remove(queued.key)
             skipped.append(queued)
@@ -292,8 +309,7 @@
         allowed = [
             state
             for state in free
-            if state.engine.name not in request.avoided
-            and state.is_within_cold_rate(rate, self.engines.share)
+            if state.is_within_cold_rate(rate, self.engines.share)
             and self.rollouts.allows(state.engine)
         ]
         if not allowed:
@@ -347,7 +363,9 @@
         engine = state.engine
         # A back end that leaves may end before its last runs do.
         leaving = (
-            engine.draining or engine.name not in self._view.engines_by_name
+            engine.draining
+            or self.notices.is_leaving(engine)
+            or engine.name not in self._view.engines_by_name
         )
         if report.outcome is not slot.Outcome.crashed or leaving:
             return
--- a/pimentoway/ops/enginetable.py
+++ b/pimentoway/ops/enginetable.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from pimentoway.core import clock
-from pimentoway.ops import enginestate, slot, view
+from pimentoway.ops import enginestate, notice, slot, view
 
 #: Seconds for which the runs of a disconnected node still count: a back end
 #: stops a run soon after the connection of its request is gone.
@@ -43,6 +43,7 @@
     Attributes:
         share: The fraction of the nodes that use this broker.
         state_by_name: The states by the name of the back end.
+        notices: What the back ends announced of themselves.
     """
 
     def __init__(self, registry_view: view.View) -> None:
@@ -53,14 +54,16 @@
         """
         self.share: float = 1
         self.state_by_name: dict[str, enginestate.EngineState] = {}
+        self.notices = notice.NoticeTable(registry_view)
         self._view = registry_view
         self._expiry_by_disconnected: dict[str, float] = {}
-        # The back ends that are neither draining nor in an evacuated domain.
+        # The back ends that may get requests of any node.
         self._usable_by_service: dict[str, list[enginestate.EngineState]] = {}
         self.update()
 
     def update(self) -> None:
-        """Apply a change of the registry view."""
+        """Apply a change of the registry view or of the notices."""
+        self.notices.update()
         engines = self._view.engines_by_name
         for name in set(self.state_by_name).difference(engines):
             self.state_by_name.pop(name)
@@ -72,7 +75,7 @@
                 state.update(engine)
         self._usable_by_service = {}
         for state in self.state_by_name.values():
-            if self._view.is_usable(state.engine):
+            if self.notices.is_usable(state.engine):
                 service = state.engine.service
                 usable = self._usable_by_service.setdefault(service, [])
                 usable.append(state)
@@ -99,6 +102,54 @@
                 free_engines.append(state)
         return Capacity(slots, free_slots, free_engines)
 
+    def drop_paused(
+        self,
+        capacity: Capacity,
+        requesters: collections.abc.Iterable[str],
+    ) -> None:
+        """Drop the back ends that want no requests from any waiting node.
+
+        Otherwise each decision would try all waiting requests with them.
+
+        Args:
+            capacity: The slots, whose free back ends are reduced.
+            requesters: The nodes whose requests wait.
+        """
+        if not self.notices.has_pauses():
+            return
+        waiting = set(requesters)
+        capacity.free_engines = [
+            state
+            for state in capacity.free_engines
+            if not all(
+                self.notices.measure_pause(requester, state.engine)
+                for requester in waiting
+            )
+        ]
+
+    def list_allowed(
+        self,
+        capacity: Capacity,
+        requester: str,
+        avoided: collections.abc.Container[str],
+    ) -> list[enginestate.EngineState]:
+        """List the free back ends that may get a request.
+
+        Args:
+            capacity: The slots of its service.
+            requester: The node of the request.
+            avoided: The names of the back ends that must not get it.
+
+        Returns:
+            The others, without those that want no requests from the node.
+        """
+        return [
+            state
+            for state in capacity.free_engines
+            if state.engine.name not in avoided
+            and not self.notices.measure_pause(requester, state.engine)
+        ]
+
     def count_running(
         self, service: str
     ) -> collections.Counter[tuple[str, int]]:
--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -12,7 +12,7 @@
 import enum
 
 from pimentoway.core import clock, deployment, log, nodesetting
-from pimentoway.ops import enginestate, slot, verdict, view
+from pimentoway.ops import enginestate, notice, slot, verdict, view
 
 #: The first share of a new version, as a fraction of the share of requests
 #: that a bad version may get.
@@ -192,21 +192,26 @@
     """The rollouts of all services."""
 
     def __init__(
-        self, bounds: nodesetting.Bounds, registry_view: view.View
+        self,
+        bounds: nodesetting.Bounds,
+        registry_view: view.View,
+        notices: notice.NoticeTable,
     ) -> None:
         """Start without rollouts; ``update`` reads them from the view.
 
         Args:
             bounds: The limits that the deployment promises.
             registry_view: The registry as this node knows it.
+            notices: What the back ends announced of themselves.
         """
+        self._notices = notices
         self._bounds = bounds
         self._view = registry_view
         self._progress_by_service: dict[str, RolloutProgress] = {}
         self._versions_by_service: dict[str, set[str]] = {}
 
     def update(self) -> None:
-        """Apply a change of the registry view.
+        """Apply a change of the registry view or of the notices.
 
         A new order for a service starts from the beginning.
         """
@@ -225,7 +230,7 @@
                 )
         versions: dict[str, set[str]] = {}
         for engine in self._view.engines_by_name.values():
-            if self._view.is_usable(engine):
+            if self._notices.is_usable(engine):
                 versions.setdefault(engine.service, set()).add(engine.version)
         self._versions_by_service = versions
 
--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentoway.core import deployment, nodesetting, registry
-from pimentoway.ops import enginestate, rolloutprogress, slot, view
+from pimentoway.ops import enginestate, notice, rolloutprogress, slot, view
 from pimentoway.standin import paused_loop, slotrequest
 
 ORDER = deployment.Rollout('s', 'v2', 12, 'o1', '', 3)
@@ -35,7 +35,7 @@
         self.reports_fail = False
         self.view = view.View()
         self.table = rolloutprogress.RolloutTable(
-            nodesetting.Bounds(), self.view
+            nodesetting.Bounds(), self.view, notice.NoticeTable(self.view)
         )
         self.states: list[rolloutprogress.State] = []
         self.new_starts = 0
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -8,6 +8,10 @@
 #: ranks of routes count as the last of them.
 ROUTE_RANKS = 4
 
+#: The number of reports that concern no slot request, which brokers of earlier
+#: releases ignore.
+NOTICE_NUMBER = 0
+
 
 class Reason(enum.IntEnum):
     """The reason of a refusal. A refused request has not run."""
@@ -159,11 +163,34 @@
     retry_after: float
 
 
+class EngineNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What a back end announced of itself in an answer to a node.
+
+    It belongs to that run of the back end, identified by its address and its
+    start.
+
+    Attributes:
+        engine: The name of the back end.
+        address: Its address, as ``ip:port``.
+        born: When it started, in milliseconds since the epoch; 0 if unknown.
+        leaving: Whether it is shutting down and wants no new requests.
+        pause_seconds: How long it wants no request from that node, counted
+            from when the notice is sent; 0 if it states no time.
+    """
+
+    engine: str
+    address: str
+    born: int
+    leaving: bool = False
+    pause_seconds: float = 0
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Reports the outcome of a grant, or withdraws a slot request.
 
     Attributes:
-        number: The number of the slot request.
+        number: The number of the slot request; ``NOTICE_NUMBER`` if the report
+            only carries a notice.
         outcome: The outcome.
         first_seconds: Seconds from dispatch to the first event; 0 if none came.
         total_seconds: Seconds from dispatch to the end of the answer.
@@ -172,6 +199,7 @@
             answer; -1 if it did not.
         waiting: The requests that waited at the back end.
         cold_seconds: Seconds that the back end stays cold; -1 if not reported.
+        notice: What a back end announced of itself; nothing in other reports.
     """
 
     number: int
@@ -182,6 +210,7 @@
     running: int = -1
     waiting: int = 0
     cold_seconds: float = -1
+    notice: EngineNotice | None = None
 
 
 class ActiveGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -12,7 +12,7 @@
 import msgspec
 from gevent import event as gevent_event
 
-from pimentoway.core import clock, error, log
+from pimentoway.core import clock, deployment, error, log
 from pimentoway.ops import broker, slot, window
 
 #: Seconds beyond the deadline of a slot request for which its reply is
@@ -198,6 +198,43 @@
         else:
             self._local.finish(self.requester, report)
 
+    def report_notice(self, notice: slot.EngineNotice) -> None:
+        """Report what a back end announced of itself.
+
+        The node's own broker always learns it, as the node checks with it
+        before it uses a grant.
+
+        Args:
+            notice: The notice.
+        """
+        is_new = self._local.notices.note(self.requester, notice)
+        if is_new and self._remote:
+            self._remote(
+                slot.Report(
+                    slot.NOTICE_NUMBER, slot.Outcome.unused, notice=notice
+                )
+            )
+
+    def list_notices(self) -> tuple[slot.EngineNotice, ...]:
+        """List the notices of back ends that another broker should know.
+
+        Returns:
+            The notices.
+        """
+        return self._local.notices.list_known(self.requester)
+
+    def may_use(self, engine: deployment.Engine) -> bool:
+        """Tell whether this node may send a request to a back end.
+
+        Args:
+            engine: The back end.
+
+        Returns:
+            Whether it may, as far as the node itself knows: the broker's view
+            of the registry and its notices can be older.
+        """
+        return self._local.notices.allows(self.requester, engine)
+
     def accept_reply(self, reply: slot.Grant | slot.Refusal) -> None:
         """Pass the broker's reply to the greenlet that awaits it.
 
--- a/pimentoway/platform/wire.py
+++ b/pimentoway/platform/wire.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from pimentoway.core import call, message
+from pimentoway.platform import notice_header
 
 #: Milliseconds in a second.
 MILLISECONDS = 1000
@@ -223,6 +224,7 @@
         idle_seconds=_read_keep_alive(texts_by_name.get(_KEEP_ALIVE, b'')),
         cold_seconds=_read_milliseconds(texts_by_name.get(_COLD_MILLISECONDS)),
         encoded=_CONTENT_ENCODING in texts_by_name,
+        notices=notice_header.read_notices(answer),
     )
 
 
--- a/pimentoway/platform/wire_test.py
+++ b/pimentoway/platform/wire_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pimentoway.core import call, deployment, message
-from pimentoway.platform import wire
+from pimentoway.platform import notice_header, wire
 
 HEAD = (
     b'POST /one/two?x=1 HTTP/1.1\r\nHost: h.example:80\r\n'
@@ -213,3 +213,48 @@
     entries = b','.join(b'%x:1' % number for number in range(500))
     request = read(b'Pimentoway-Prefix-Hash: %s\r\n' % entries)
     assert len(request.shared_parts) < wire.MAX_PARTS
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'notices'),
+    [
+        (200, b'Server-Leaving: 1', call.Notices(leaving=True)),
+        (500, b'server-leaving:  1 ', call.Notices(leaving=True)),
+        (421, b'Server-Leaving: 1\r\nRetry-After: 5', call.Notices()),
+        (200, b'Server-Leaving: no', call.Notices(unreadable="b'no'")),
+        (503, b'Retry-After: 2.5', call.Notices(pause_seconds=2.5)),
+        (503, b'Retry-After: 0', call.Notices()),
+        (200, b'Retry-After: 5', call.Notices()),
+        (503, b'Retry-After: -5', call.Notices(unreadable="b'-5'")),
+        (503, b'Retry-After: inf', call.Notices(unreadable="b'inf'")),
+        (503, b'Retry-After: 1_0', call.Notices(unreadable="b'1_0'")),
+        (503, b'Retry-After: 90000', call.Notices(unreadable="b'90000'")),
+        (503, b'Retry-After:', call.Notices(unreadable="b''")),
+        (
+            503,
+            b'Retry-After: 5\r\nRetry-After: 6',
+            call.Notices(unreadable="b'5, 6'"),
+        ),
+        (
+            503,
+            b'Server-Leaving: 1\r\nRetry-After: Fri, 4 Dec 2026 01:02:03 GMT',
+            call.Notices(
+                leaving=True, unreadable="b'Fri, 4 Dec 2026 01:02:03 GMT'"
+            ),
+        ),
+    ],
+)
+def test_notices_are_decoded(
+    status: int, headers: bytes, notices: call.Notices
+) -> None:
+    """Values that can't be used are ignored, but kept for the log."""
+    head = b'HTTP/1.1 %d Status\r\n%s' % (status, headers)
+    assert read_metadata(head).notices == notices
+
+
+def test_unreadable_notice_is_shortened() -> None:
+    """A long or often repeated header does not fill the log."""
+    lines = [b'Retry-After: %d soon' % number for number in range(90)]
+    head = b'\r\n'.join((b'HTTP/1.1 503 Full', *lines))
+    unreadable = read_metadata(head).notices.unreadable
+    assert len(unreadable) <= notice_header.MAX_UNREADABLE_LENGTH + len("b''")
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -286,7 +286,12 @@
             self.broker.finish(source.requester, content)
         elif isinstance(content, frame.Attach):
             _LOG.write('a node attached to this broker.', node=content.node)
-            self.broker.adopt(source.requester, content.running, content.usage)
+            self.broker.adopt(
+                source.requester,
+                content.running,
+                content.usage,
+                content.notices,
+            )
             self._update_share()
 
     def _on_detach(self, requester: str) -> None:
