--- a/pimentoway/ops/slotclient_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -208,3 +208,16 @@
         msgspec.structs.replace(pair.make_request(), customer='')
     )
     assert not pair.slots.list_usage()
+
+
+def test_notices_reach_both_brokers() -> None:
+    """The other broker learns them at once, and as the node attaches."""
+    pair = BrokerPair()
+    engine = pair.view.engines_by_name['e0']
+    heard = slot.EngineNotice('e0', engine.address, engine.born, leaving=True)
+    pair.attach_remote()
+    pair.slots.report_notice(heard)
+    assert not pair.slots.may_use(engine)
+    assert pair.slots.list_notices() == (heard,)
+    for known in (pair.local.notices, pair.remote.notices):
+        assert known.is_leaving(engine)
--- a/pimentoway/platform/notice_process_test.py
+++ b/pimentoway/platform/notice_process_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from pimentoway.core import clock, registry
+from pimentoway.ops import notice
 from pimentoway.platform import edge_process_test, scripted_engine
 
 Script = scripted_engine.Script
@@ -88,6 +89,18 @@
     assert len(leaving.requests) == 1
 
 
+def test_node_heeds_notices_without_its_broker() -> None:
+    """The broker of an earlier release grants against them."""
+    leaving = scripted_engine.ScriptedEngine('e1', Script(headers=LEAVING))
+    harness = edge_process_test.NodeHarness(leaving)
+    broker = harness.node.broker
+    broker.engines.notices = notice.NoticeTable(harness.node.view)
+    assert send(harness, 1) == OK
+    harness.add(scripted_engine.ScriptedEngine('e2'))
+    assert send(harness) == OK
+    assert len(leaving.requests) == 1
+
+
 def test_stream_of_a_leaving_engine_goes_on() -> None:
     """The notice is acted on at once, while its stream still runs."""
     stream = Script(
