--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -5,7 +5,10 @@
 _EDGE = 'pimentoway/platform/edge_process_test.py'
 _BROKER = 'pimentoway/ops/broker_test.py'
 _PARTS = 'pimentoway/ops/partledger_test.py'
+_NOTICES = 'pimentoway/platform/notice_process_test.py'
+_NOTICE_TABLE = 'pimentoway/ops/notice_test.py'
 _REAL = 'real'
+_NEVER = 'if False:'
 
 GUARDS = (
     guard_text.Guard(
@@ -202,7 +205,7 @@
     guard_text.Guard(
         'a back end that answers has not crashed',
         'backends/liveness.py',
-        'return not sock.recv(1)',
+        'return not received',
         'return True',
         'pimentoway/backends/liveness_process_test.py',
         _REAL,
@@ -277,14 +280,14 @@
     guard_text.Guard(
         'cold back end at the broker',
         'ops/broker.py',
-        '            and state.is_within_cold_rate(rate, self.engines.share)\n',
-        '',
+        'if state.is_within_cold_rate(rate, self.engines.share)',
+        'if True',
         _BROKER,
     ),
     guard_text.Guard(
         'leaving back end at the broker',
         'ops/enginetable.py',
-        'if self._view.is_usable(state.engine):',
+        'if self.notices.is_usable(state.engine):',
         'if True:',
         _BROKER,
     ),
@@ -520,7 +523,142 @@
         'a known entry renews no cold start',
         'ops/enginestate.py',
         'if engine == self.engine:',
-        'if False:',
+        _NEVER,
         'pimentoway/ops/enginestate_test.py',
     ),
+    guard_text.Guard(
+        'the answer to a misdirected request gives no notice',
+        'platform/notice_header.py',
+        'if answer.status == _MISDIRECTED:',
+        _NEVER,
+        'pimentoway/platform/wire_test.py',
+    ),
+    guard_text.Guard(
+        'only a plain number of seconds is a pause',
+        'platform/notice_header.py',
+        'if not _SECONDS.fullmatch(text):',
+        'if not text:',
+        'pimentoway/platform/wire_test.py',
+    ),
+    guard_text.Guard(
+        'a notice is heard with the head of an answer',
+        'callers/backend_attempt.py',
+        (
+            '        self._dependencies.notices.read('
+            'self._engine, metadata.notices)\n'
+        ),
+        '',
+        _NOTICES,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'the answer to a liveness check is read',
+        'backends/liveness.py',
+        '        if _has_head(reader):',
+        '        if False:',
+        'pimentoway/backends/liveness_process_test.py',
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a back end that wants no requests is not checked',
+        'backends/liveness.py',
+        'if not self._may_use(engine):',
+        _NEVER,
+        'pimentoway/backends/liveness_process_test.py',
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a node checks its grants with the notices',
+        'callers/forward.py',
+        'if engine is None or not self._slots.may_use(engine):',
+        'if engine is None or not self._view.is_usable(engine):',
+        _NOTICES,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a leaving back end is granted to no node',
+        'ops/enginetable.py',
+        'if self.notices.is_usable(state.engine)',
+        'if self._view.is_usable(state.engine)',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a pause holds for grants',
+        'ops/enginetable.py',
+        (
+            '            and not self.notices.measure_pause('
+            'requester, state.engine)\n'
+        ),
+        '',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a request that waits for the end of a pause blocks no other',
+        'ops/broker.py',
+        (
+            'if queued.request.avoided or '
+            'len(allowed) < len(capacity.free_engines):'
+        ),
+        'if queued.request.avoided:',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a notice belongs to one run of a back end',
+        'ops/notice.py',
+        'return (engine.name, engine.address, engine.born)',
+        "return (engine.name, f'{engine.name}:1', 1)",
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a leaving notice ends when the store says so',
+        'ops/notice.py',
+        '            elif was_draining:\n',
+        '            elif False:\n',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'notices are bounded',
+        'ops/notice.py',
+        'if len(self._was_draining_by_run) > MAX_LEAVING:',
+        _NEVER,
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'pauses are bounded',
+        'ops/notice.py',
+        'while oldest <= now or len(self._end_by_pause) > MAX_PAUSES:',
+        'while oldest <= now:',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'the longest pause holds',
+        'ops/notice.py',
+        'if end <= self._end_by_pause.get(key, 0):',
+        _NEVER,
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a long pause is capped',
+        'ops/notice.py',
+        'seconds = min(notice.pause_seconds, MAX_PAUSE_SECONDS)',
+        'seconds = notice.pause_seconds',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a node tells its notices when it attaches',
+        'ops/broker.py',
+        (
+            '        for notice in notices:\n'
+            '            self.notices.note(requester, notice)\n'
+        ),
+        '',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a node reports a notice to the broker in use',
+        'ops/slotclient.py',
+        '        if is_new and self._remote:',
+        '        if False:',
+        'pimentoway/ops/slotclient_test.py',
+    ),
 )
