Let engines of the soak give notices, and check that nodes heed them

An engine leaves and says so in its answers only, or turns requests away with a time; the check finds a node that sends more than two requests half a second later.

--- a/pimentoway/platform/recording_engine.py
+++ b/pimentoway/platform/recording_engine.py
@@ -22,6 +22,9 @@
 
 #: The status if the request expects another engine; nothing was run then.
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_NOT_RUN = 'Pimentoway-Not-Executed: 1'
+_LEAVING = 'Server-Leaving: 1'
 
 _EXPECTED_INSTANCE = b'pimentoway-expect-instance'
 _LAST_EVENT_ID = b'last-event-id'
@@ -42,6 +45,26 @@
     time: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that reached an engine which gives notices, or did before.
+
+    Attributes:
+        request_id: The attempt id of the request.
+        time: When it came, in seconds of the monotonic clock.
+        start: Which start of the engine it reached, counted from 0.
+        leaving: Whether the engine announced in its answer that it leaves.
+        pause_seconds: How long the engine wanted no more requests, as it said
+            in its answer; 0 if it said nothing.
+    """
+
+    request_id: str
+    time: float
+    start: int
+    leaving: bool
+    pause_seconds: float
+
+
 class RecordingEngine(scripted_engine.ScriptedEngine):
     """An engine that runs each request and answers by its path.
 
@@ -49,7 +72,12 @@
 
     Attributes:
         crashing: Whether it ends its streams within their next event.
+        leaving: Whether it announces in its answers that it leaves.
+        pause_seconds: The time with which it turns requests away; 0 if it runs
+            them.
+        starts: How often it was started again.
         runs: The runs, in the order of their starts.
+        arrivals: The requests that reached it, also those that it turned away.
         failed_connections: The connections that broke while being served.
     """
 
@@ -61,9 +89,19 @@
         """
         super().__init__(name)
         self.crashing = False
+        self.leaving = False
+        self.pause_seconds: float = 0
+        self.starts = 0
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
         self.failed_connections = 0
 
+    def restart(self) -> None:
+        """Forget all faults and announcements, as after a new start."""
+        self.crashing = False
+        self.leaving = False
+        self.starts += 1
+
     def _handle(self, sock: gevent_socket.socket, address: tuple) -> None:
         try:
             super()._handle(sock, address)
@@ -87,9 +125,27 @@
                 _MISDIRECTED, (b'',), sealed=False
             )
             return super()._answer(sock, request, misdirected)
-        self.runs.append(Run(attempt_id, self.name, clock.read_monotonic()))
+        now = clock.read_monotonic()
+        leaving = (_LEAVING,) if self.leaving else ()
+        self.arrivals.append(
+            Arrival(
+                attempt_id, now, self.starts, self.leaving, self.pause_seconds
+            )
+        )
+        if self.pause_seconds:
+            refusal = scripted_engine.Script(
+                _UNAVAILABLE,
+                headers=(_NOT_RUN, f'Retry-After: {self.pause_seconds}'),
+            )
+            return super()._answer(sock, request, refusal)
+        self.runs.append(Run(attempt_id, self.name, now))
         gevent.sleep(RUN_SECONDS)
-        return super()._answer(sock, request, _make_script(attempt_id, request))
+        script = _make_script(attempt_id, request)
+        return super()._answer(
+            sock,
+            request,
+            dataclasses.replace(script, headers=(*script.headers, *leaving)),
+        )
 
     def _send_piece(
         self,
--- a/pimentoway/soak/check.py
+++ b/pimentoway/soak/check.py
@@ -1,12 +1,14 @@
 """Checks guarantees of the system against what callers and engines saw."""
 
 import collections
+import math
 
 from pimentoway.platform import recording_engine, soak_fixture
 from pimentoway.soak import caller
 
 Outcomes = list[caller.Outcome]
 Runs = list[recording_engine.Run]
+Arrivals = list[recording_engine.Arrival]
 
 #: Seconds by which an answer may exceed the deadline of its request, because
 #: all processes of a soak share one host.
@@ -18,6 +20,11 @@
 #: The HTTP statuses that guarantee that no engine ran the request.
 NOT_RUN_STATUSES = frozenset((400, 401, 404, 408, 421, 429, 503))
 
+#: Seconds within which a node heeds a notice of an engine, and the most
+#: requests that it may send later nevertheless.
+NOTICE_SECONDS = 0.5
+MAX_LATE_REQUESTS = 2
+
 SECONDS_PER_MILLISECOND = 0.001
 
 
@@ -78,6 +85,50 @@
     return outcome.ended_at - outcome.sent_at > limit
 
 
+def list_ignored_notices(outcomes: Outcomes, arrivals: Arrivals) -> list[str]:
+    """List the requests that reached an engine against its notices.
+
+    Args:
+        outcomes: The outcomes of the callers' requests.
+        arrivals: The requests that reached one engine, whose connections were
+            not disturbed, in order.
+
+    Returns:
+        A sentence for each notice that a node ignored.
+    """
+    outcomes_by_id = {outcome.request_id: outcome for outcome in outcomes}
+    sent = [
+        (arrival, outcomes_by_id[arrival.request_id])
+        for arrival in arrivals
+        if arrival.request_id in outcomes_by_id
+    ]
+    return [
+        f'{given.request_id}: {outcome.node.settings.name} ignored a notice, '
+        f'leaving {given.leaving}, pause {given.pause_seconds}: {late}'
+        for given, outcome in sent
+        if given.leaving or given.pause_seconds
+        for late in (_list_late(given, outcome, sent),)
+        if len(late) > MAX_LATE_REQUESTS
+    ]
+
+
+def _list_late(
+    given: recording_engine.Arrival,
+    outcome: caller.Outcome,
+    sent: list[tuple[recording_engine.Arrival, caller.Outcome]],
+) -> list[str]:
+    # The requests that the node sent to the engine against a notice.
+    end = math.inf if given.leaving else given.time + given.pause_seconds
+    return [
+        arrival.request_id
+        for arrival, later in sent
+        if later.node is outcome.node
+        and arrival.start == given.start
+        and given.time + NOTICE_SECONDS < arrival.time < end
+        and not outcome.node.was_disturbed(given.time, arrival.time)
+    ]
+
+
 def list_failed_after_recovery(
     outcomes: Outcomes, recovered_at: float
 ) -> list[str]:
--- a/pimentoway/soak/check_test.py
+++ b/pimentoway/soak/check_test.py
@@ -7,7 +7,7 @@
 
 from pimentoway.core import clock
 from pimentoway.platform import recording_engine, soak_fixture
-from pimentoway.soak import caller, check, fault, fleet
+from pimentoway.soak import caller, check, fault_plan, fleet
 
 Ending = caller.Ending
 
@@ -107,9 +107,39 @@
     assert not check.list_failed_after_recovery([refused], 10.5)
 
 
+@pytest.mark.parametrize(
+    ('notice', 'changes', 'is_violation'),
+    [
+        ((True, 0), {}, True),
+        ((False, 1), {}, True),
+        ((False, 0.5), {}, False),
+        ((False, 0), {}, False),
+        ((True, 0), {'start': 1}, False),
+        ((True, 0), {'time': 10.4}, False),
+    ],
+)
+def test_ignored_notice_is_reported(
+    tmp_path: pathlib.Path, notice: tuple, changes: dict, is_violation: bool
+) -> None:
+    """Three requests are too many, if the node was not disturbed."""
+    node = make_node(tmp_path)
+    outcomes = [make_outcome(node, request_id=name) for name in 'qabc']
+    given = recording_engine.Arrival('q', 10, 0, *notice)
+    late = recording_engine.Arrival('a', 10.7, 0, False, 0)
+    arrivals = [
+        given,
+        *(dataclasses.replace(late, request_id=name) for name in 'bc'),
+        dataclasses.replace(late, **changes),
+    ]
+    found = check.list_ignored_notices(outcomes, arrivals)
+    assert bool(found) == is_violation
+    node.disturbances.append(fleet.Disturbance(10.2, 10.3))
+    assert not check.list_ignored_notices(outcomes, arrivals)
+
+
 def test_seed_determines_the_plan() -> None:
     """Equal seeds give equal faults, in order; another seed gives others."""
-    first = fault.draw_plan(3, 10, 20)
-    assert first == fault.draw_plan(3, 10, 20)
-    assert first != fault.draw_plan(4, 10, 20)
+    first = fault_plan.draw_plan(3, 10, 20)
+    assert first == fault_plan.draw_plan(3, 10, 20)
+    assert first != fault_plan.draw_plan(4, 10, 20)
     assert [one.start for one in first] == sorted(one.start for one in first)
--- a/pimentoway/soak/fault.py
+++ b/pimentoway/soak/fault.py
@@ -1,18 +1,12 @@
-"""The faults of a soak test: drawn from a seed, injected and removed again."""
+"""The faults of a soak test, how they are injected and removed again."""
 
 import dataclasses
 import functools
-import random
 
 import gevent
 
 from pimentoway.soak import proxy, stage
 
-#: The range of a fault's duration: some faults end before they are detected,
-#: some outlast every timeout between processes.
-MIN_FAULT_SECONDS = 0.2
-MAX_FAULT_SECONDS = 4.0
-
 #: Seconds by which a slow connection delays each block: longer than the
 #: heartbeat interval of an idle link between nodes.
 DELAY_SECONDS = 0.3
@@ -20,6 +14,9 @@
 #: Seconds for which an engine still serves after it announced that it leaves.
 DRAIN_SECONDS = 2.0
 
+#: The time with which an engine turns requests away, in seconds.
+PAUSE_SECONDS = 1.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
@@ -75,6 +72,14 @@
     """An engine drains for `DRAIN_SECONDS` and is then lost."""
 
 
+class EngineSaysLeaving(Fault):
+    """An engine leaves and says so in its answers, but not in the store."""
+
+
+class EngineSheds(Fault):
+    """An engine turns requests away, for `PAUSE_SECONDS` each time."""
+
+
 @dataclasses.dataclass(frozen=True)
 class LinkFault(Fault):
     """A fault of the connections through one proxy.
@@ -101,40 +106,13 @@
     EngineLeaves,
 )
 
+NOTICE_FAULTS = (EngineSaysLeaving, EngineSheds)
+
 LINK_PARTS = ('node', 'engine', 'store')
 
 LINK_EFFECTS = ('reset', 'refuse', 'delay', 'hold requests', 'hold answers')
 
 
-def draw_plan(seed: int, seconds: float, count: int) -> list[Fault]:
-    """Draw random faults.
-
-    Args:
-        seed: The seed, which determines the plan.
-        seconds: All faults start within this time.
-        count: The number of faults.
-
-    Returns:
-        The faults, ordered by their start.
-    """
-    generator = random.Random(seed)
-    plan = [_draw_fault(generator, seconds) for _ in range(count)]
-    return sorted(plan, key=lambda planned: planned.start)
-
-
-def _draw_fault(generator: random.Random, seconds: float) -> Fault:
-    start = generator.uniform(0, seconds)
-    duration = generator.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
-    target = generator.randrange(1000)
-    kind = generator.choice((*PLAIN_FAULTS, LinkFault, LinkFault, LinkFault))
-    if kind is LinkFault:
-        part = generator.choice(LINK_PARTS)
-        return LinkFault(
-            start, duration, target, part, generator.choice(LINK_EFFECTS)
-        )
-    return kind(start, duration, target)
-
-
 @functools.singledispatch
 def inject(fault: Fault, testbed: stage.Testbed) -> None:
     """Inject a fault and remove it after its duration.
@@ -220,9 +198,28 @@
     testbed.restart_engine(proxied)
 
 
+@inject.register
+def _announce_leaving(fault: EngineSaysLeaving, testbed: stage.Testbed) -> None:
+    proxied = _find_engine(fault, testbed)
+    proxied.engine.leaving = True
+    gevent.sleep(DRAIN_SECONDS)
+    testbed.lose_engine(proxied)
+    gevent.sleep(fault.seconds)
+    testbed.restart_engine(proxied)
+
+
+@inject.register
+def _shed_requests(fault: EngineSheds, testbed: stage.Testbed) -> None:
+    engine = _find_engine(fault, testbed).engine
+    engine.pause_seconds = PAUSE_SECONDS
+    gevent.sleep(fault.seconds)
+    engine.pause_seconds = 0
+
+
 @inject.register
 def _disturb_link(fault: LinkFault, testbed: stage.Testbed) -> None:
     target_proxy = _find_proxy(fault, testbed)
+    target_proxy.was_disturbed = True
     if fault.how == 'reset':
         target_proxy.reset()
         return
--- a/pimentoway/soak/play.py
+++ b/pimentoway/soak/play.py
@@ -11,7 +11,7 @@
 
 from pimentoway.core import clock, error, message
 from pimentoway.platform import soak_fixture
-from pimentoway.soak import caller, check, fault, fleet, stage
+from pimentoway.soak import caller, check, fault, fault_plan, fleet, stage
 
 #: The numbers of nodes and of callers.
 NODES = 5
@@ -61,11 +61,23 @@
         seconds: All faults start within this time.
         faults: The number of faults.
 
+    Returns:
+        The report; the files stay in its folder.
+    """
+    return run_plan(seed, fault_plan.draw_plan(seed, seconds, faults))
+
+
+def run_plan(seed: int, plan: list[fault.Fault]) -> Report:
+    """Run one soak with given faults.
+
+    Args:
+        seed: The seed of the traffic.
+        plan: The faults.
+
     Returns:
         The report; the files stay in its folder.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    plan = fault.draw_plan(seed, seconds, faults)
     (folder / 'plan.txt').write_text('\n'.join(map(str, plan)))
     testbed = stage.Testbed(folder, NODES)
     load_generator = caller.LoadGenerator(CALLERS, seed)
@@ -163,6 +175,13 @@
 ) -> list[str]:
     runs = [run for proxied in testbed.engines for run in proxied.engine.runs]
     violations = check.list_violations(load_generator.outcomes, runs)
+    for proxied in testbed.engines:
+        if not proxied.proxy.was_disturbed:
+            violations.extend(
+                check.list_ignored_notices(
+                    load_generator.outcomes, proxied.engine.arrivals
+                )
+            )
     for node in testbed.list_nodes():
         violations.extend(node.list_violations())
     return violations
--- a/pimentoway/soak/play_process_test.py
+++ b/pimentoway/soak/play_process_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pimentoway.soak import play
+from pimentoway.soak import fault, play
 
 #: Soaks that once violated a guarantee: seed, seconds and number of faults. The
 #: causes are in docs/SOAK.md.
@@ -19,3 +19,20 @@
     report = play.run_soak(seed, seconds, faults)
     assert report.endings['exact 200'] > 300
     assert not report.violations, play.format_report(report)
+
+
+def test_notices_are_heeded_amid_other_faults() -> None:
+    """The store is away and nodes restart while engines give notices."""
+    report = play.run_plan(
+        1,
+        [
+            fault.StoreAway(0.5, 4, 0),
+            fault.EngineSaysLeaving(1, 1, 0),
+            fault.EngineSheds(1.2, 3, 1),
+            fault.EngineSheds(1.2, 3, 2),
+            fault.NodeStopped(1.5, 1, 0),
+            fault.NodeKilled(2.2, 0.5, 1),
+        ],
+    )
+    assert report.endings['exact 200'] > 300
+    assert not report.violations, play.format_report(report)
--- a/pimentoway/soak/proxy.py
+++ b/pimentoway/soak/proxy.py
@@ -29,6 +29,7 @@
         refuses_connections: Whether new connections are reset.
         holds_requests: Whether bytes from clients are held back.
         holds_answers: Whether bytes from the target are held back.
+        was_disturbed: Whether a fault of its connections was ever injected.
         error_count: The number of failures to connect or to forward.
     """
 
@@ -40,6 +41,7 @@
         """
         host, _, port = target.rpartition(':')
         self.error_count = 0
+        self.was_disturbed = False
         self._target = (host, int(port))
         self._open_sockets: set[gevent_socket.socket] = set()
         self.restore()
--- a/pimentoway/soak/stage.py
+++ b/pimentoway/soak/stage.py
@@ -162,7 +162,7 @@
         Args:
             proxied: The engine.
         """
-        proxied.engine.crashing = False
+        proxied.engine.restart()
         proxied.proxy.restore()
         proxied.record = dataclasses.replace(
             proxied.record, born=proxied.record.born + 1, draining=False
