Refuse with the end of all pauses, and let requests return then

When all back ends of a service had asked a node for a pause, its requests waited in vain or came back too early, and one that had been turned away never got its back end again.

The broker counts the time until the first back end wants requests as a wait: who can't wait is refused at once, with a Retry-After not before then, half a second later for each lower tier and spread within that half by the fingerprint. A node no longer avoids a back end that turned the request away for a time it knows.

--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -197,7 +197,9 @@
                     self._dependencies, context, slot_request, engine
                 ).run()
             except backend_attempt.RetryError:
-                context.avoided = (*context.avoided, engine.name)
+                # One that wants no requests now may get this one later.
+                if self._slots.may_use(engine):
+                    context.avoided = (*context.avoided, engine.name)
         raise error.NoBackendError('no back end takes the request', 'place')
 
     def _check_deadline(
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -14,6 +14,7 @@
     enginestate,
     enginetable,
     partledger,
+    reopening,
     rolloutprogress,
     routequeue,
     slot,
@@ -102,7 +103,7 @@
         request = self._admission.restore_target(request)
         self._queue_by_service[request.service].count_request(request)
         capacity = self.engines.measure_capacity(request.service)
-        estimate = self._make_estimate(request, capacity)
+        estimate = self._make_estimate(requester, request, capacity)
         reason, wait = self._admission.check(request, estimate)
         now = clock.read_monotonic()
         target_time = now + request.target_left
@@ -286,12 +287,18 @@
         self._reply(queued.key[0], grant)
 
     def _make_estimate(
-        self, request: slot.SlotRequest, capacity: enginetable.Capacity
+        self,
+        requester: str,
+        request: slot.SlotRequest,
+        capacity: enginetable.Capacity,
     ) -> admit.Estimate:
         queue = self._queue_by_service[request.service]
         wait = None
         if capacity.slots:
-            wait = queue.estimate_wait(request, capacity.slots)
+            wait = max(
+                queue.estimate_wait(request, capacity.slots),
+                self.engines.measure_opening(request.service, requester),
+            )
         return admit.Estimate(
             wait=wait,
             first_event=queue.stats_by_route[request.route].first_seconds,
@@ -401,6 +408,11 @@
         retry = max(MIN_RETRY_SECONDS, wait)
         if reason is not slot.Reason.suspect:
             retry = min(MAX_RETRY_SECONDS, retry)
+        opening = self.engines.measure_opening(request.service, requester)
+        if opening:
+            retry = max(
+                retry, reopening.compute_return_seconds(opening, request)
+            )
         self._count_decision(request, 'refused')
         _LOG.write(
             'refused.',
--- a/pimentoway/ops/enginetable.py
+++ b/pimentoway/ops/enginetable.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from pimentoway.core import clock
 from pimentoway.ops import enginestate, notice, slot, view
@@ -127,6 +128,27 @@
             )
         ]
 
+    def measure_opening(self, service: str, requester: str) -> float:
+        """Measure until when no back end wants requests from a node.
+
+        Args:
+            service: The name of the service.
+            requester: The node.
+
+        Returns:
+            Seconds until the first usable back end does; 0 if one does now,
+            or if none is usable.
+        """
+        if not self.notices.has_pauses():
+            return 0
+        opening = math.inf
+        for state in self._usable_by_service.get(service, ()):
+            pause = self.notices.measure_pause(requester, state.engine)
+            if not pause:
+                return 0
+            opening = min(opening, pause)
+        return 0 if math.isinf(opening) else opening
+
     def list_allowed(
         self,
         capacity: Capacity,
--- a/pimentoway/ops/notice_test.py
+++ b/pimentoway/ops/notice_test.py
@@ -3,8 +3,9 @@
 import msgspec
 import pytest
 
+from pimentoway.core import clock
 from pimentoway.nodes import frame
-from pimentoway.ops import notice, slot
+from pimentoway.ops import notice, reopening, slot
 from pimentoway.standin import load, paused_loop, slotrequest
 
 #: The nodes: one hears the notices, the other one does not.
@@ -180,3 +181,46 @@
     assert frame.FrameReader().feed(frame.encode(answered)) == [
         slot.Report(7, slot.Outcome.answered)
     ]
+
+
+def test_refusal_names_the_end_of_all_pauses() -> None:
+    """Who can't wait returns after the end, high tiers first, not together."""
+    simulation = NoticeSimulation()
+    simulation.hear('e0', pause_seconds=9)
+    simulation.hear('e1', pause_seconds=6)
+    for number in range(1, 61):
+        rank = number % 3
+        simulation.submit(HEARER, number, patience_left=2, rank=rank)
+    waits = [[], [], []]
+    for refusal in simulation.refusals:
+        assert refusal.reason is slot.Reason.overloaded
+        waits[refusal.number % 3].append(refusal.retry_after)
+    assert [len(of_rank) for of_rank in waits] == [20, 20, 20]
+    bounds = [6]
+    for of_rank in waits:
+        bounds.extend((min(of_rank), max(of_rank)))
+        assert max(of_rank) - min(of_rank) > reopening.SPREAD_SECONDS / 2
+    assert bounds == sorted(bounds)
+    simulation.submit(OTHER, 1, patience_left=2)
+    assert simulation.grants
+
+
+def test_all_back_ends_shed_load() -> None:
+    """Shedding service: no request reaches a back end before its time.
+
+    All back ends turn requests away at once, for the same time, and are used
+    again as soon as it is over.
+    """
+    simulation = load.Simulation()
+    simulation.generate_requests(30, factor=1.5)
+    paused_loop.advance(5)
+    now = clock.read_monotonic()
+    for name in simulation.speed_by_engine:
+        simulation.broker.notices.note(
+            load.REQUESTER,
+            slot.EngineNotice(name, f'{name}:1', 1, pause_seconds=4),
+        )
+    paused_loop.advance(55)
+    for arrivals in simulation.arrivals_by_engine.values():
+        assert not any(0 < time - now < 4 for time in arrivals)
+        assert any(4 < time - now < 4.1 for time in arrivals)
--- a/pimentoway/platform/notice_process_test.py
+++ b/pimentoway/platform/notice_process_test.py
@@ -172,6 +172,18 @@
     assert clock.read_monotonic() - started > PAUSE_SECONDS
 
 
+def test_turned_away_request_waits_for_the_end() -> None:
+    """The only back end gets it again when it wants requests."""
+    paused = scripted_engine.ScriptedEngine(
+        'e1', make_pause(PAUSE_TEXT), Script()
+    )
+    harness = edge_process_test.NodeHarness(paused)
+    started = clock.read_monotonic()
+    assert send(harness, 1) == OK
+    assert clock.read_monotonic() - started > PAUSE_SECONDS
+    assert len(paused.requests) == 2
+
+
 @pytest.mark.parametrize(
     'text', ['-5', 'soon', 'inf', '1e999', '9' * 40, '', '0', '5, 6']
 )
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -8,6 +8,7 @@
 _NOTICES = 'pimentoway/platform/notice_process_test.py'
 _NOTICE_TABLE = 'pimentoway/ops/notice_test.py'
 _REAL = 'real'
+_BROKER_MODULE = 'ops/broker.py'
 _NEVER = 'if False:'
 
 GUARDS = (
@@ -594,7 +595,7 @@
     ),
     guard_text.Guard(
         'a request that waits for the end of a pause blocks no other',
-        'ops/broker.py',
+        _BROKER_MODULE,
         (
             'if queued.request.avoided or '
             'len(allowed) < len(capacity.free_engines):'
@@ -646,7 +647,7 @@
     ),
     guard_text.Guard(
         'a node tells its notices when it attaches',
-        'ops/broker.py',
+        _BROKER_MODULE,
         (
             '        for notice in notices:\n'
             '            self.notices.note(requester, notice)\n'
@@ -661,4 +662,26 @@
         '        if False:',
         'pimentoway/ops/slotclient_test.py',
     ),
+    guard_text.Guard(
+        'a request that was turned away may return to the same back end',
+        'callers/forward.py',
+        '                if self._slots.may_use(engine):',
+        '                if True:',
+        _NOTICES,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a refusal names the end of all pauses',
+        _BROKER_MODULE,
+        '        if opening:\n',
+        '        if False:\n',
+        _NOTICE_TABLE,
+    ),
+    guard_text.Guard(
+        'a request that cannot wait for the end of all pauses is refused',
+        _BROKER_MODULE,
+        'self.engines.measure_opening(request.service, requester),',
+        '0,',
+        _NOTICE_TABLE,
+    ),
 )
