--- a/pimentoway/tools/pattern.py
+++ b/pimentoway/tools/pattern.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from pimentoway.core import registry
+from pimentoway.core import clock, registry
 from pimentoway.ops import broker, slot
 from pimentoway.standin import load, paused_loop
 
@@ -167,6 +167,17 @@
         simulation.speed_by_engine[engine] = 0.1
 
 
+def _pause_all_engines(simulation: load.Simulation) -> None:
+    for engine in simulation.view.engines_by_name.values():
+        notice = slot.EngineNotice(
+            engine.name,
+            engine.address,
+            engine.born,
+            pause_seconds=DISTURBANCE_SECONDS,
+        )
+        simulation.broker.notices.note(load.REQUESTER, notice)
+
+
 DISTURBANCE_BY_NAME = types.MappingProxyType(
     {
         'calm': _leave_undisturbed,
@@ -175,6 +186,7 @@
         'twice the load': _double_load,
         'failure domain lost at peak': _lose_zone,
         'two stragglers': _slow_two_engines,
+        'all back ends shed load': _pause_all_engines,
     },
 )
 
@@ -191,12 +203,14 @@
         refused_ratio: The fraction of the requests that was refused for good.
         refusal_seconds: The median time from a request to its refusal; 0 if
             none was refused.
+        early_requests: The requests that reached back ends which wanted none.
     """
 
     on_time_ratio_by_kind: dict[str, float]
     worth_ratio: float
     refused_ratio: float
     refusal_seconds: float
+    early_requests: int = 0
 
 
 def measure_load(disturbance: Disturbance, policy: Policy) -> Outcome:
@@ -218,13 +232,33 @@
     )
     paused_loop.advance(DISTURBANCE_START_SECONDS)
     disturbance(simulation)
+    ends_by_engine = _list_pauses(simulation)
+    started = clock.read_monotonic()
     paused_loop.advance(LOAD_SECONDS + DRAIN_SECONDS)
-    return summarize(
+    outcome = summarize(
         {
             kind.name: simulation.get_counts(kind.name)
             for kind in load.REQUEST_KINDS
         }
     )
+    return dataclasses.replace(
+        outcome,
+        early_requests=sum(
+            started < time < end
+            for engine, end in ends_by_engine.items()
+            for time in simulation.arrivals_by_engine[engine]
+        ),
+    )
+
+
+def _list_pauses(simulation: load.Simulation) -> dict[str, float]:
+    # The ends of the pauses of all back ends, on the monotonic clock.
+    now = clock.read_monotonic()
+    notices = simulation.broker.notices
+    return {
+        name: now + notices.measure_pause(load.REQUESTER, engine)
+        for name, engine in simulation.view.engines_by_name.items()
+    }
 
 
 def compute_worth_ratio(counts_by_kind: dict[str, load.OutcomeCounts]) -> float:
@@ -278,8 +312,9 @@
     """
     kinds = ' | '.join(kind.name for kind in load.REQUEST_KINDS)
     sys.stdout.write(
-        f'\n| pattern | policy | {kinds} | worth | refused | refusal, s |\n'
-        '|---|---|---|---|---|---|---|---|\n',
+        f'\n| pattern | policy | {kinds} '
+        '| worth | refused | refusal, s | early |\n'
+        '|---|---|---|---|---|---|---|---|---|\n',
     )
     for name, disturbance in DISTURBANCE_BY_NAME.items():
         for policy in POLICIES:
@@ -291,6 +326,7 @@
             sys.stdout.write(
                 f'| {name} | {policy.name} | {on_time} '
                 f'| {outcome.worth_ratio:.3f} | {outcome.refused_ratio:.3f} '
-                f'| {outcome.refusal_seconds:.2f} |\n',
+                f'| {outcome.refusal_seconds:.2f} '
+                f'| {outcome.early_requests} |\n',
             )
     return 0
