Forget pauses that are over before the next one comes

The table of pauses was emptied only with a new pause, so each decision went on checking all waiting nodes after the last one ended. Guard seen red.

--- a/pimentoway/ops/notice.py
+++ b/pimentoway/ops/notice.py
@@ -136,9 +136,15 @@
         """Tell whether any back end may want no requests from some node.
 
         Returns:
-            Whether pauses are known; some may be over.
+            Whether pauses are known; some of them may be over, but not all.
         """
-        return bool(self._end_by_pause)
+        now = clock.read_monotonic()
+        while self._end_by_pause:
+            key, end = next(iter(self._end_by_pause.items()))
+            if end > now:
+                return True
+            self._end_by_pause.pop(key)
+        return False
 
     def measure_pause(self, requester: str, engine: deployment.Engine) -> float:
         """Measure how long a back end still wants no requests from a node.
@@ -186,16 +192,13 @@
         return True
 
     def _extend_pause(self, key: tuple[str, _RunId], seconds: float) -> bool:
-        now = clock.read_monotonic()
-        end = now + seconds
+        end = clock.read_monotonic() + seconds
         if end <= self._end_by_pause.get(key, 0):
             return False
         self._end_by_pause[key] = end
         self._end_by_pause.move_to_end(key)
-        oldest = next(iter(self._end_by_pause.values()))
-        while oldest <= now or len(self._end_by_pause) > MAX_PAUSES:
+        if len(self._end_by_pause) > MAX_PAUSES:
             self._end_by_pause.popitem(last=False)
-            oldest = next(iter(self._end_by_pause.values()))
         return True
 
 
--- a/pimentoway/ops/notice_test.py
+++ b/pimentoway/ops/notice_test.py
@@ -95,6 +95,7 @@
     assert simulation.grants == [(OTHER, 2, 'e0')]
     paused_loop.advance(0.2)
     assert simulation.grants[1:] == [(HEARER, 1, 'e0')]
+    assert not simulation.broker.notices.has_pauses()
 
 
 def test_longest_pause_holds() -> None:
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -627,8 +627,8 @@
     guard_text.Guard(
         'pauses are bounded',
         'ops/notice.py',
-        'while oldest <= now or len(self._end_by_pause) > MAX_PAUSES:',
-        'while oldest <= now:',
+        'if len(self._end_by_pause) > MAX_PAUSES:',
+        _NEVER,
         _NOTICE_TABLE,
     ),
     guard_text.Guard(
@@ -684,4 +684,11 @@
         '0,',
         _NOTICE_TABLE,
     ),
+    guard_text.Guard(
+        'pauses that are over are forgotten',
+        'ops/notice.py',
+        '            self._end_by_pause.pop(key)\n        return False',
+        '            return True\n        return False',
+        _NOTICE_TABLE,
+    ),
 )
