--- a/pimentoway/ops/enginetable.py
+++ b/pimentoway/ops/enginetable.py
@@ -165,11 +165,17 @@
         Returns:
             The others, without those that want no requests from the node.
         """
-        return [
+        allowed = [
             state
             for state in capacity.free_engines
             if state.engine.name not in avoided
-            and not self.notices.measure_pause(requester, state.engine)
+        ]
+        if not self.notices.has_pauses():
+            return allowed
+        return [
+            state
+            for state in allowed
+            if not self.notices.measure_pause(requester, state.engine)
         ]
 
     def count_running(
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -587,7 +587,7 @@
         'a pause holds for grants',
         'ops/enginetable.py',
         (
-            '            and not self.notices.measure_pause('
+            '            if not self.notices.measure_pause('
             'requester, state.engine)\n'
         ),
         '',
