--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -13,6 +13,7 @@
     backend_attempt,
     connection,
     drain,
+    notice_reader,
     request_context,
     response_writer,
 )
@@ -75,11 +76,15 @@
         self._view = registry_view
         self._slots = slots
         self._dialect = dialect
+        notices = notice_reader.NoticeReader(slots, dialect)
         self._dependencies = backend_attempt.Dependencies(
             slots,
             channels,
             dialect,
-            liveness.LivenessChecker(dialect.liveness_probe),
+            liveness.LivenessChecker(
+                dialect.liveness_probe, slots.may_use, notices.read_answer
+            ),
+            notices,
         )
 
     def read_limits(self) -> deployment.CallerLimits:
@@ -222,7 +227,9 @@
                     self._dependencies, context, slot_request, engine
                 ).run()
             except backend_attempt.RetryError:
-                context.avoided = (*context.avoided, engine.name)
+                # One that wants no requests now may get this one later.
+                if self._slots.may_use(engine):
+                    context.avoided = (*context.avoided, engine.name)
         raise error.NoBackendError('no back end takes the request', 'place')
 
     def _check_deadline(
@@ -274,8 +281,8 @@
         name = self._slots.acquire_slot(slot_request)
         context.queue_seconds += clock.read_monotonic() - now
         engine = self._view.engines_by_name.get(name)
-        if engine is None or not self._view.is_usable(engine):
-            # The broker's view of the registry can be older than this node's.
+        if engine is None or not self._slots.may_use(engine):
+            # The broker can know less of the back end than this node does.
             context.avoided = (*context.avoided, name)
             return slot_request, None
         return slot_request, engine
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -14,6 +14,7 @@
     enginestate,
     enginetable,
     partledger,
+    reopening,
     rolloutprogress,
     routequeue,
     slot,
@@ -58,6 +59,7 @@
         engines: The back ends of all services.
         rollouts: The rollouts of all services.
         parts: The evidence against parts of prompts.
+        notices: What the back ends announced of themselves.
     """
 
     def __init__(
@@ -71,7 +73,10 @@
             reply: Sends a grant or a refusal to the node named first.
         """
         self.engines = enginetable.EngineTable(registry_view)
-        self.rollouts = rolloutprogress.RolloutTable(bounds, registry_view)
+        self.notices = self.engines.notices
+        self.rollouts = rolloutprogress.RolloutTable(
+            bounds, registry_view, self.notices
+        )
         self._view = registry_view
         self._reply = reply
         self._queue_by_service: dict[str, waitqueue.WaitQueue] = (
@@ -82,6 +87,7 @@
         self._admission = admit.AdmissionControl(bounds, registry_view)
         self.parts = self._admission.parts
         registry_view.subscribe(self._on_view_change)
+        self.notices.subscribe(self._on_view_change)
         self._on_view_change(registry.Kind.engines)
 
     def submit(self, requester: str, request: slot.SlotRequest) -> None:
@@ -97,7 +103,7 @@
         request = self._admission.restore_target(request)
         self._queue_by_service[request.service].count_request(request)
         capacity = self.engines.measure_capacity(request.service)
-        estimate = self._make_estimate(request, capacity)
+        estimate = self._make_estimate(requester, request, capacity)
         reason, wait = self._admission.check(request, estimate)
         now = clock.read_monotonic()
         target_time = now + request.target_left
@@ -124,6 +130,8 @@
             requester: The node that sent it.
             report: The outcome.
         """
+        if report.notice:
+            self.notices.note(requester, report.notice)
         key = (requester, report.number)
         for service, queue in self._queue_by_service.items():
             queued = queue.remove(key)
@@ -140,6 +148,7 @@
         requester: str,
         runs: list[slot.ActiveGrant],
         used: list[slot.QuotaUsage],
+        notices: collections.abc.Iterable[slot.EngineNotice] = (),
     ) -> None:
         """Take over the runs of a node that uses this broker from now on.
 
@@ -147,7 +156,10 @@
             requester: The node.
             runs: Its runs in progress.
             used: Its quota usage in the current window.
+            notices: What back ends announced of themselves, as it knows.
         """
+        for notice in notices:
+            self.notices.note(requester, notice)
         # The node sends its unanswered slot requests again, and the broker
         # may not have noticed yet that the node's earlier link is closed.
         self._drop_waiting(requester)
@@ -227,6 +239,9 @@
         self, service: str, capacity: enginetable.Capacity
     ) -> None:
         queue = self._queue_by_service[service]
+        self.engines.drop_paused(
+            capacity, (requester for requester, _ in queue.waiting_by_key)
+        )
         skipped: list[routequeue.QueuedRequest] = []
         while capacity.free_engines:
             queued = queue.find_next(capacity.slots, capacity.free_slots)
@@ -242,12 +257,15 @@
         skipped: list[routequeue.QueuedRequest],
     ) -> bool:
         # Returns whether the next request in the queue should be tried.
-        state = self._choose_engine(queued.request, capacity.free_engines)
+        allowed = self.engines.list_allowed(
+            capacity, queued.key[0], queued.request.avoided
+        )
+        state = self._choose_engine(queued.request, allowed)
         if state:
             self._grant(queued, state)
             capacity.note_grant(state, self.engines.share)
             return True
-        if queued.request.avoided:
+        if queued.request.avoided or len(allowed) < len(capacity.free_engines):
             # The back ends that this request must avoid may suit the next one.
             self._queue_by_service[queued.request.service].remove(queued.key)
             skipped.append(queued)
@@ -269,12 +287,18 @@
         self._reply(queued.key[0], grant)
 
     def _make_estimate(
-        self, request: slot.SlotRequest, capacity: enginetable.Capacity
+        self,
+        requester: str,
+        request: slot.SlotRequest,
+        capacity: enginetable.Capacity,
     ) -> admit.Estimate:
         queue = self._queue_by_service[request.service]
         wait = None
         if capacity.slots:
-            wait = queue.estimate_wait(request, capacity.slots)
+            wait = max(
+                queue.estimate_wait(request, capacity.slots),
+                self.engines.measure_opening(request.service, requester),
+            )
         return admit.Estimate(
             wait=wait,
             first_event=queue.stats_by_route[request.route].first_seconds,
@@ -292,8 +316,7 @@
         allowed = [
             state
             for state in free
-            if state.engine.name not in request.avoided
-            and state.is_within_cold_rate(rate, self.engines.share)
+            if state.is_within_cold_rate(rate, self.engines.share)
             and self.rollouts.allows(state.engine)
         ]
         if not allowed:
@@ -347,7 +370,9 @@
         engine = state.engine
         # A back end that leaves may end before its last runs do.
         leaving = (
-            engine.draining or engine.name not in self._view.engines_by_name
+            engine.draining
+            or self.notices.is_leaving(engine)
+            or engine.name not in self._view.engines_by_name
         )
         if report.outcome is not slot.Outcome.crashed or leaving:
             return
@@ -383,6 +408,11 @@
         retry = max(MIN_RETRY_SECONDS, wait)
         if reason is not slot.Reason.suspect:
             retry = min(MAX_RETRY_SECONDS, retry)
+        opening = self.engines.measure_opening(request.service, requester)
+        if opening:
+            retry = max(
+                retry, reopening.compute_return_seconds(opening, request)
+            )
         self._count_decision(request, 'refused')
         _LOG.write(
             'refused.',
--- a/pimentoway/ops/restoration_test.py
+++ b/pimentoway/ops/restoration_test.py
@@ -7,6 +7,7 @@
 
 from pimentoway.core import deployment, nodesetting, registry
 from pimentoway.ops import (
+    notice,
     partledger,
     restoration,
     rewriter,
@@ -196,7 +197,9 @@
 def test_lost_rollout_state_is_reported_again(listed: bool) -> None:
     """The order keeps its identity, and its version stays reverted."""
     node_view = view.View()
-    table = rolloutprogress.RolloutTable(nodesetting.Bounds(), node_view)
+    table = rolloutprogress.RolloutTable(
+        nodesetting.Bounds(), node_view, notice.NoticeTable(node_view)
+    )
     write(node_view, 1, 50, Kind.rollouts, _date(ORDER, 1))
     table.update()
     progress = table._progress_by_service['s']
--- a/pimentoway/soak/stage.py
+++ b/pimentoway/soak/stage.py
@@ -199,7 +199,7 @@
         Args:
             proxied: The engine.
         """
-        proxied.engine.crashing = False
+        proxied.engine.restart()
         proxied.proxy.restore()
         proxied.record = dataclasses.replace(
             proxied.record,
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -305,7 +305,12 @@
             self.broker.finish(source.requester, content)
         elif isinstance(content, frame.Attach):
             _LOG.write('a node attached to this broker.', node=content.node)
-            self.broker.adopt(source.requester, content.running, content.usage)
+            self.broker.adopt(
+                source.requester,
+                content.running,
+                content.usage,
+                content.notices,
+            )
             self._update_share()
 
     def _submit(self, requester: str, request: slot.SlotRequest) -> None:
