--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -219,9 +219,9 @@
         gevent.sleep(ACCEPT_SECONDS)
         self._caller_server.close()
         drain_limit.closed = True
-        self._close_callers(drain_limit.end)
+        _close_callers(self._callers, drain_limit.end)
         self._forwarder.interrupt()
-        self._close_callers(end)
+        _close_callers(self._callers, end)
         _LOG.write('finished draining.', active=self._forwarder.active)
 
     def reload(self) -> None:
@@ -246,13 +246,6 @@
             'read the settings again; changes need a restart.', changed=changed
         )
 
-    def _close_callers(self, end: float) -> None:
-        while clock.read_monotonic() < end and self._callers:
-            for caller in tuple(self._callers):
-                caller.closing = not caller.idle
-                caller.close_idle()
-            gevent.sleep(DRAIN_CHECK_SECONDS)
-
     def _handle_caller(self, sock: object, address: tuple) -> None:
         if (
             len(self._callers)
@@ -470,6 +463,16 @@
         return True
 
 
+def _close_callers(
+    callers: set[connection.CallerConnection], end: float
+) -> None:
+    while clock.read_monotonic() < end and callers:
+        for caller in tuple(callers):
+            caller.closing = not caller.idle
+            caller.close_idle()
+        gevent.sleep(DRAIN_CHECK_SECONDS)
+
+
 def _serve_stream(
     address: str, handle: collections.abc.Callable
 ) -> gevent_server.StreamServer:
