Keep nodes from undoing each other's reconciliation after a restoration

Callers' requests could go to back ends that leave or are gone, and to an evacuated failure domain, once a second node listed the restored store or a node started. Cause, found by a reviewer: differences to the store were passed on as they were, so that a node that had no earlier records took the copy for the present; and a second listing, or the records of a node that listed a little later, ended what was held. The stand-in of the store hid it: any change ended all its watches, so that all nodes stayed at the same revision.

Nodes pass on what they know: their history begins anew with the era. For ten seconds after a restoration, and as long as something is held, listings and records of others are reconciled; only the store's own report of a removal or time ends a hold. A further restoration, and calls to the store that fail, prolong it. A copy of a removed back end that a later listing lacks is dropped; a block that ends while it is held is forgotten. The stand-in's watches end with a change of their kind.

Failed before: test_known_notices_are_passed_on, test_held_record_survives_another_listing, test_records_are_held_while_the_store_is_away, test_copies_that_a_listing_lacks_are_dropped (as the reviewer's trials of the same sequences) and test_block_that_ends_while_held_stays_ended.

--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -264,7 +264,7 @@
         for name, record in records_by_name.items()
     ]
     changes.extend(registry.Change(name, None) for name in message.removed)
-    node_view.apply_changes(
+    node_view.merge_changes(
         kind,
         registry.Changes(message.revision, tuple(changes)),
         source,
--- a/pimentoway/nodes/frame_test.py
+++ b/pimentoway/nodes/frame_test.py
@@ -7,7 +7,7 @@
 
 from pimentoway.core import deployment, error, registry
 from pimentoway.nodes import frame
-from pimentoway.ops import slot, view
+from pimentoway.ops import revisionlog, slot, view
 
 Kind = registry.Kind
 MESSAGES = (
@@ -188,7 +188,7 @@
     sender = view.View()
     receiver = view.View()
     change_engine(receiver, 1, 'old', removed=False)
-    for number in range(2, view.KEPT_CHANGES + 9):
+    for number in range(2, revisionlog.KEPT_CHANGES + 9):
         change_engine(sender, number, 'e', removed=False)
     message = answer_query(sender, Kind.engines, 1)
     assert message.is_snapshot
--- a/pimentoway/ops/restoration.py
+++ b/pimentoway/ops/restoration.py
@@ -34,6 +34,9 @@
     registry.Kind.part_blocks,
 )
 
+#: Seconds for which held records are kept longer while the store is away again.
+MAX_AWAY_SECONDS = 10.0
+
 #: The kinds whose lost records are not kept for a while: some configuration is
 #: always in force, and blocks of parts of prompts are held without a limit.
 UNHELD_KINDS = frozenset(
@@ -50,6 +53,7 @@
 class _Held:
     since: float
     until: float
+    restored: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +64,8 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Doubted:
+    """A back end that was removed, but is in the restored store again."""
+
     engine: deployment.Engine
     until: float
 
@@ -85,7 +91,10 @@
         self._doubted_by_name: dict[str, _Doubted] = {}
 
     def hold(
-        self, kind: registry.Kind, names: collections.abc.Iterable[str]
+        self,
+        kind: registry.Kind,
+        names: collections.abc.Iterable[str],
+        restored: bool = False,
     ) -> None:
         """Keep records that the store lost until they are written again.
 
@@ -94,13 +103,18 @@
                 without a limit, as only the nodes can write them; others for
                 ``GRACE_SECONDS``.
             names: The names of the records.
+            restored: Whether the store was restored, which begins the time
+                anew.
         """
         now = clock.read_monotonic()
         until = now + GRACE_SECONDS
         if kind is registry.Kind.part_blocks:
             until = math.inf
         for name in names:
-            self._held_by_key.setdefault((kind, name), _Held(now, until))
+            held = self._held_by_key.get((kind, name))
+            if held is None or restored:
+                since = held.since if held else now
+                self._held_by_key[(kind, name)] = _Held(since, until, restored)
 
     def list_held(self, kind: registry.Kind, seconds: float = 0) -> list[str]:
         """List the records of a kind that the store doesn't have.
@@ -131,9 +145,8 @@
         Returns:
             The other changes.
         """
-        self.hold(
-            kind, [change.name for change in changes if change.record is None]
-        )
+        missing = [change.name for change in changes if change.record is None]
+        self.hold(kind, missing, restored=True)
         return tuple(change for change in changes if change.record is not None)
 
     def list_expiring(self, kind: registry.Kind) -> set[str]:
@@ -151,15 +164,25 @@
             if held_kind is kind and held.until < math.inf
         }
 
-    def take_overdue(self) -> list[tuple[registry.Kind, str]]:
+    def take_overdue(
+        self, store_failed_at: float
+    ) -> list[tuple[registry.Kind, str]]:
         """Take the held records that nobody has written again in time.
 
+        Args:
+            store_failed_at: The monotonic time of the latest call to the store
+                that failed. While it is away again, nobody can write.
+
         Returns:
             The kind and the name of each.
         """
         now = clock.read_monotonic()
+        is_away = now - store_failed_at < GRACE_SECONDS
         overdue = [
-            key for key, held in self._held_by_key.items() if held.until <= now
+            key
+            for key, held in self._held_by_key.items()
+            if held.until + MAX_AWAY_SECONDS * (is_away and held.restored)
+            <= now
         ]
         for key in overdue:
             self._held_by_key.pop(key)
@@ -202,6 +225,7 @@
         kind: registry.Kind,
         change: registry.Change,
         known: registry.Record | None,
+        restored: bool,
     ) -> registry.Change | None:
         """Reconcile a difference to the restored store with what is known.
 
@@ -211,17 +235,17 @@
 
         Args:
             kind: The kind of the record.
-            change: What the restored store has.
+            change: What the restored store, or another node, has.
             known: The record as it is known; None if there is none.
+            restored: Whether it is the first difference since the restoration.
 
         Returns:
             The change to apply; None if there is none to apply now.
         """
         if change.record is None:
-            if kind in UNHELD_KINDS:
-                return change
-            self.hold(kind, [change.name])
-            return None
+            if restored and kind not in UNHELD_KINDS:
+                self.hold(kind, [change.name], restored=True)
+            return None if (kind, change.name) in self._held_by_key else change
         chosen = self._choose(kind, change.name, known, change.record)
         if chosen is None or chosen is known:
             return None
@@ -251,6 +275,23 @@
             known or self._find_removed(kind, change.name), order
         )
 
+    def drop_doubts(
+        self, kind: registry.Kind, listed: collections.abc.Container[str]
+    ) -> None:
+        """Drop copies of removed back ends that a listing no longer has.
+
+        Args:
+            kind: The kind of the listing.
+            listed: The names in it.
+        """
+        if kind is not registry.Kind.engines:
+            return
+        self._doubted_by_name = {
+            name: doubted
+            for name, doubted in self._doubted_by_name.items()
+            if name in listed
+        }
+
     def take_running(self) -> list[deployment.Engine]:
         """Take the back ends whose entries outlasted ``LAPSE_SECONDS``.
 
@@ -337,7 +378,9 @@
 def _is_older(
     engine: deployment.Engine, known: deployment.Engine, or_equal: bool = False
 ) -> bool:
-    # The count of writes starts anew with each start of a back end.
+    # The count of changes starts anew with each start of a back end.
+    if not engine.born:
+        return False
     if engine.born != known.born:
         return engine.born < known.born
     return engine.sequence < known.sequence + or_equal
--- a/pimentoway/ops/restoration_test.py
+++ b/pimentoway/ops/restoration_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pimentoway.core import deployment, nodesetting, registry
+from pimentoway.nodes import frame
 from pimentoway.ops import (
     notice,
     partledger,
@@ -179,18 +180,113 @@
     if not starts:
         write(receiver, 1, 50, Kind.engines, view_test.make_engine('a'))
     write(sender, 2, 40, Kind.engines, view_test.make_engine('b'))
-    if starts:
-        snapshot = sender.make_snapshot(Kind.engines)
-        receiver.apply_snapshot(snapshot, 'peer')
-    else:
-        known = receiver.revision_by_kind[Kind.engines]
-        changes = sender.list_changes(Kind.engines, known)
-        receiver.apply_changes(Kind.engines, changes, 'peer')
+    receiver.apply_snapshot(sender.make_snapshot(Kind.engines), 'peer')
+    if not starts:
         assert set(receiver.engines_by_name) == {'a', 'b'}
     wait_and_expire(receiver, restoration.GRACE_SECONDS + 0.1)
     assert set(receiver.engines_by_name) == {'b'}
 
 
+def synchronize(
+    sender: view.View, receiver: view.View, kind: registry.Kind
+) -> None:
+    """Send the records that another node lacks.
+
+    Args:
+        sender: The records of the one node.
+        receiver: The records of the other one, which is behind.
+        kind: The kind.
+    """
+    after = receiver.revision_by_kind[kind]
+    assert after < sender.revision_by_kind[kind]
+    query = frame.RecordQuery(kind.value, after, 0)
+    encoded = frame.RecordEncoder(sender).encode(query)
+    frame.apply_records(frame.FrameReader().feed(encoded)[0], receiver, 'peer')
+
+
+# Guards against nodes that undo each other's reconciliation: they list the
+# restored store one after the other, or start after the restoration.
+@pytest.mark.parametrize('starts', [True, False])
+def test_known_notices_are_passed_on(starts: bool) -> None:
+    """Others get what a node knows, not the copy that the store has."""
+    ready = view_test.make_engine('a', sequence=3)
+    gone = view_test.make_engine('g', sequence=3)
+    leaving = dataclasses.replace(ready, draining=True, sequence=4)
+    sender = view.View()
+    receiver = view.View()
+    for node_view in [sender] if starts else [sender, receiver]:
+        write(node_view, 1, 50, Kind.engines, leaving, gone)
+        change(node_view, 1, 51, Kind.engines, 'g', None)
+    if not starts:
+        write(receiver, 2, 40, Kind.engines, ready, gone)
+    write(sender, 2, 45, Kind.engines, ready, gone)
+    synchronize(sender, receiver, Kind.engines)
+    assert receiver.engines_by_name == {'a': leaving}
+
+
+@pytest.mark.parametrize('again', ['listing', 'other node', 'restoration'])
+@pytest.mark.parametrize(
+    ('kind', 'record'),
+    [
+        (Kind.engines, view_test.make_engine('a')),
+        (Kind.evacuations, OUT),
+        (Kind.rollouts, ORDER),
+        (Kind.part_blocks, BLOCK),
+    ],
+)
+def test_held_record_survives_another_listing(
+    kind: Kind, record: object, again: str
+) -> None:
+    """Only the store's own report of a removal, or time, ends a hold."""
+    node_view = view.View()
+    write(node_view, 1, 50, kind, record)
+    write(node_view, 2, 40, kind)
+    paused_loop.advance(restoration.GRACE_SECONDS - 0.2)
+    if again == 'other node':
+        other = view.View()
+        write(other, 2, 45, kind)
+        synchronize(other, node_view, kind)
+    else:
+        write(node_view, 2 + (again == 'restoration'), 45, kind)
+    wait_and_expire(node_view, 0.1)
+    assert node_view._records_by_kind[kind]
+    wait_and_expire(node_view, 0.2)
+    is_kept = again == 'restoration' or kind is Kind.part_blocks
+    assert bool(node_view._records_by_kind[kind]) == is_kept
+
+
+# Guards against back ends that are forgotten although they run: the store was
+# away again before they could write.
+def test_records_are_held_while_the_store_is_away() -> None:
+    """The time to write begins when the store can be called again."""
+    node_view = view.View()
+    write(node_view, 1, 50, Kind.engines, view_test.make_engine('a'))
+    write(node_view, 2, 40, Kind.engines)
+    for _ in range(5):
+        node_view.note_store_failure()
+        wait_and_expire(node_view, 0.5)
+    assert node_view.engines_by_name
+    wait_and_expire(node_view, restoration.GRACE_SECONDS)
+    assert not node_view.engines_by_name
+
+
+def test_copies_that_a_listing_lacks_are_dropped() -> None:
+    """A lapsed entry shows that its back end is gone, and blocks stay ended."""
+    node_view = view.View()
+    engine = view_test.make_engine('a')
+    write(node_view, 1, 50, Kind.engines, engine)
+    change(node_view, 1, 51, Kind.engines, 'a', None)
+    write(node_view, 2, 40, Kind.engines, engine)
+    write(node_view, 2, 45, Kind.engines)
+    wait_and_expire(node_view, restoration.LAPSE_SECONDS + 0.1)
+    assert not node_view.engines_by_name
+    write(node_view, 1, 50, Kind.part_blocks, BLOCK)
+    change(node_view, 1, 51, Kind.part_blocks, BLOCK.name, None)
+    for number in (40, 41):
+        write(node_view, 2, number, Kind.part_blocks, BLOCK)
+    assert not node_view.part_blocks_by_name
+
+
 # Guards against a bad version that gets requests again, and a rollout that
 # starts anew, after its reported state was lost with the store.
 @pytest.mark.parametrize('listed', [True, False])
@@ -294,6 +390,27 @@
     assert source.calls == written[: 1 + leads]
 
 
+# Guards against prompt parts that are refused although they were answered: the
+# block ended while the store had lost it, and was then written again.
+def test_block_that_ends_while_held_stays_ended() -> None:
+    """The store has nothing to remove then, and the record is forgotten."""
+    node_view = view.View()
+    ledger = partledger.PartLedger()
+    part = (BLOCK.service, BLOCK.part)
+    write(node_view, 1, 50, Kind.part_blocks, BLOCK)
+    ledger.adopt(node_view.part_blocks_by_name.values())
+    write(node_view, 2, 40, Kind.part_blocks)
+    ledger.record_answer([part])
+    source = WritesRegistry()
+    task = gevent.spawn(
+        rewriter.Rewriter(source, node_view, ledger, lambda: True).run
+    )
+    paused_loop.advance(1)
+    task.kill()
+    assert source.calls == [f'remove {BLOCK.name}']
+    assert not node_view.part_blocks_by_name
+
+
 # Guards against a bad version whose node in charge started after the store was
 # restored and does not know that it was taken back.
 def test_lost_state_is_reported_by_another_node() -> None:
--- a/pimentoway/ops/rewriter.py
+++ b/pimentoway/ops/rewriter.py
@@ -81,6 +81,8 @@
                 self._source.put_part_block(block)
             else:
                 self._remove_block(block)
+                # It may be held, as the restored store lacked it.
+                self._view.forget(registry.Kind.part_blocks, block.name)
             if unstored[part] is block:
                 unstored.pop(part)
 
@@ -93,7 +95,9 @@
     def _rewrite_blocks(self, seconds: float) -> None:
         kind = registry.Kind.part_blocks
         for name in self._view.retained.list_held(kind, seconds):
-            block = self._view.part_blocks_by_name[name]
+            block = self._view.part_blocks_by_name.get(name)
+            if block is None:
+                continue
             self._source.put_part_block(block)
             self._view.retained.note_written(kind, name)
             _LOG.write('wrote a lost block of a part again.', part=name)
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -5,20 +5,12 @@
 import types
 
 from pimentoway.core import clock, deployment, log, registry
-from pimentoway.ops import restoration
+from pimentoway.ops import restoration, revisionlog
 
 #: Seconds after a failed call to the store in which entries may expire
 #: although their back ends are running.
 STORE_FAILURE_SECONDS = 3.0
 
-#: Seconds after the latest answer of the store, or change from another node, in
-#: which this node knows what was in the store; a watch waits less long.
-CURRENT_SECONDS = 30.0
-
-#: The changes of each kind that are kept, so that nodes that are a little
-#: behind need no snapshot.
-KEPT_CHANGES = 64
-
 #: The earlier configurations that are kept, so that nodes that have one of them
 #: need only the routes that changed. Equal routes are the same objects in all.
 KEPT_CONFIGURATIONS = 8
@@ -60,17 +52,12 @@
     def __init__(self) -> None:
         """Start without records."""
         self.deployment: deployment.Deployment | None = None
-        self.revision_by_kind = dict.fromkeys(registry.Kind, 0)
+        self._log = revisionlog.RevisionLog()
+        self.revision_by_kind = self._log.revision_by_kind
         self._records_by_kind: dict[registry.Kind, dict] = {
             kind: {} for kind in registry.Kind
         }
         self.retained = restoration.RetainedRecords()
-        self._changed_at_by_kind = dict.fromkeys(registry.Kind, float('-inf'))
-        self._history_by_kind: dict[registry.Kind, collections.deque] = {
-            kind: collections.deque(maxlen=KEPT_CHANGES)
-            for kind in registry.Kind
-            if kind is not registry.Kind.configuration
-        }
         self._configurations: collections.deque[deployment.Deployment] = (
             collections.deque(maxlen=KEPT_CONFIGURATIONS)
         )
@@ -177,17 +164,18 @@
         """
         kind = snapshot.kind
         is_newer = snapshot.revision > self.revision_by_kind[kind]
-        if not is_newer and not self._has_newer_version(snapshot):
+        if not is_newer and not _has_later_version(snapshot, self.version):
             return False
         changes = _compare(
             self._records_by_kind[kind], snapshot.records_by_name
         )
-        if kind is registry.Kind.part_blocks and self._is_current(kind):
-            if self._is_restored(kind, snapshot.revision):
+        if kind is registry.Kind.part_blocks and self._log.is_current(kind):
+            if self._log.is_restored(kind, snapshot.revision):
                 changes = self.retained.hold_removed(kind, changes)
-        self.apply_changes(
+        self.merge_changes(
             kind, registry.Changes(snapshot.revision, changes), source
         )
+        self.retained.drop_doubts(kind, snapshot.records_by_name)
         return True
 
     def make_snapshot(self, kind: registry.Kind) -> Snapshot:
@@ -238,21 +226,12 @@
             The changes; nothing if some of them are no longer kept, so that a
             snapshot is needed.
         """
-        history = self._history_by_kind[kind]
-        if not history or history[0][0] > after:
-            return None
-        later = [
-            change
-            for _, changes in history
-            if changes.revision > after
-            for change in changes.changes
-        ]
-        return registry.Changes(self.revision_by_kind[kind], tuple(later))
+        return self._log.list_changes(kind, after)
 
     def apply_changes(
         self, kind: registry.Kind, changes: registry.Changes, source: str
     ) -> None:
-        """Apply changes of a kind, and call the callbacks.
+        """Apply changes that the store reported, and call the callbacks.
 
         Changes up to a revision older than the known one are ignored, except
         for a newer version of the configuration.
@@ -262,30 +241,25 @@
             changes: The changes, and the revision up to which they reach.
             source: Where they came from, for the log.
         """
-        before = self.revision_by_kind[kind]
-        if kind is not registry.Kind.configuration:
-            if changes.revision < before:
-                return
-            self._history_by_kind[kind].append((before, changes))
-        restored = self._is_restored(kind, changes.revision)
-        self.revision_by_kind[kind] = max(before, changes.revision)
-        self._changed_at_by_kind[kind] = clock.read_monotonic()
-        for change in changes.changes:
-            if restored:
-                self._reconcile(kind, change, source)
-            else:
-                self._apply(kind, change, source)
-        if restored:
-            _LOG.write(
-                'the store was restored from a copy.',
-                kind=kind.value,
-                revision=changes.revision,
-                known=before,
-                changed=[listed.name for listed in changes.changes],
-                missing=self.retained.list_held(kind),
-            )
-        if changes.changes:
-            self._notify(kind)
+        self._apply_all(kind, changes, source, reconciles=False)
+
+    def merge_changes(
+        self, kind: registry.Kind, changes: registry.Changes, source: str
+    ) -> None:
+        """Apply differences to a listing or to the records of another node.
+
+        They don't tell whether a record was removed or is only missing in a
+        restored store. For a while after a restoration they are reconciled
+        with what is known.
+
+        Args:
+            kind: The kind.
+            changes: The changes, and the revision up to which they reach.
+            source: Where they came from, for the log.
+        """
+        held = self.retained.list_held(kind)
+        reconciles = bool(held) or self._log.is_settling(kind)
+        self._apply_all(kind, changes, source, reconciles)
 
     def expire(self) -> None:
         """Remove records that the store lost and nobody has written again.
@@ -293,7 +267,8 @@
         A back end whose entry outlasted its removal counts as running again.
         """
         changed = set()
-        for kind, name in self.retained.take_overdue():
+        overdue = self.retained.take_overdue(self._store_failed_at)
+        for kind, name in overdue:
             self._drop(kind, name)
             changed.add(kind)
             _LOG.write(
@@ -309,31 +284,58 @@
         for changed_kind in changed:
             self._notify(changed_kind)
 
-    def _is_restored(self, kind: registry.Kind, revision: int) -> bool:
-        known = self.revision_by_kind[kind]
-        era, _ = registry.split_revision(revision)
-        known_era, _ = registry.split_revision(known)
-        return 0 < known and known_era < era
+    def forget(self, kind: registry.Kind, name: str) -> None:
+        """Remove a record that this node has removed from the store.
 
-    def _is_current(self, kind: registry.Kind) -> bool:
-        age = clock.read_monotonic() - self._changed_at_by_kind[kind]
-        return age < CURRENT_SECONDS
+        Args:
+            kind: The kind.
+            name: The name of the record.
+        """
+        self._drop(kind, name)
+        self._notify(kind)
+
+    def _apply_all(
+        self,
+        kind: registry.Kind,
+        changes: registry.Changes,
+        source: str,
+        reconciles: bool,
+    ) -> None:
+        known = self.revision_by_kind[kind]
+        is_older = changes.revision < known
+        if is_older and kind is not registry.Kind.configuration:
+            return
+        restored = self._log.is_restored(kind, changes.revision)
+        self._log.note(kind, changes)
+        for change in changes.changes:
+            if restored or reconciles:
+                self._reconcile(kind, change, source, restored)
+            else:
+                self._apply(kind, change, source)
+        if restored:
+            _LOG.write(
+                'the store was restored from a copy.',
+                kind=kind.value,
+                revision=changes.revision,
+                known=known,
+                changed=[listed.name for listed in changes.changes],
+                missing=self.retained.list_held(kind),
+            )
+        if changes.changes:
+            self._notify(kind)
 
     def _reconcile(
-        self, kind: registry.Kind, change: registry.Change, source: str
+        self,
+        kind: registry.Kind,
+        change: registry.Change,
+        source: str,
+        restored: bool,
     ) -> None:
         known = self._records_by_kind[kind].get(change.name)
-        holding = self.retained.reconcile(kind, change, known)
+        holding = self.retained.reconcile(kind, change, known, restored)
         if holding:
             self._apply(kind, holding, source)
 
-    def _has_newer_version(self, snapshot: Snapshot) -> bool:
-        return any(
-            isinstance(record, deployment.Deployment)
-            and record.version > self.version
-            for record in snapshot.records_by_name.values()
-        )
-
     def _apply(
         self, kind: registry.Kind, change: registry.Change, source: str
     ) -> None:
@@ -423,3 +425,10 @@
         if known_by_name.get(name) != listed
     )
     return tuple(changes)
+
+
+def _has_later_version(snapshot: Snapshot, version: int) -> bool:
+    return any(
+        isinstance(record, deployment.Deployment) and record.version > version
+        for record in snapshot.records_by_name.values()
+    )
--- a/pimentoway/platform/memory_store.py
+++ b/pimentoway/platform/memory_store.py
@@ -184,11 +184,12 @@
         if not self._compacted_revision <= after <= self.revision:
             return 410, {}
         era = self.era
+        deadline = clock.read_monotonic() + int(query['WaitMs']) / MILLISECONDS
         events = self._list_events_after(kind, after)
-        if not events:
+        # Changes of other kinds end the wait for a change, but not the watch.
+        while not events and clock.read_monotonic() < deadline:
             self._change_signal.clear()
-            # Changes of any kind end the wait, so there may still be no event.
-            self._change_signal.wait(int(query['WaitMs']) / MILLISECONDS)
+            self._change_signal.wait(deadline - clock.read_monotonic())
             if era != self.era:
                 return 503, {}
             events = self._list_events_after(kind, after)
--- a/pimentoway/tools/recovery_guard.py
+++ b/pimentoway/tools/recovery_guard.py
@@ -69,8 +69,8 @@
     guard_text.Guard(
         'lost records are kept for a while',
         'ops/restoration.py',
-        '            self.hold(kind, [change.name])\n            return None\n',
-        '            return change\n',
+        '            if restored and kind not in UNHELD_KINDS:\n',
+        '            if False:\n',
         _RESTORATION,
     ),
     guard_text.Guard(
@@ -97,7 +97,7 @@
     guard_text.Guard(
         'lost blocks of parts are kept',
         'ops/view.py',
-        '            if self._is_restored(kind, snapshot.revision):\n',
+        '            if self._log.is_restored(kind, snapshot.revision):\n',
         '            if False:\n',
         _RESTORATION,
     ),
@@ -115,4 +115,39 @@
         'seconds = WATCH_SECONDS',
         'pimentoway/ops/view_test.py',
     ),
+    guard_text.Guard(
+        'held records survive another listing',
+        'ops/view.py',
+        'reconciles = bool(held) or self._log.is_settling(kind)',
+        'reconciles = False',
+        _RESTORATION,
+    ),
+    guard_text.Guard(
+        'other nodes get what is known, not the copy',
+        'ops/revisionlog.py',
+        '            history.clear()\n',
+        '            history.append((known, changes))\n',
+        _RESTORATION,
+    ),
+    guard_text.Guard(
+        'records are held while the store is away',
+        'ops/restoration.py',
+        'is_away = now - store_failed_at < GRACE_SECONDS',
+        'is_away = False',
+        _RESTORATION,
+    ),
+    guard_text.Guard(
+        'copies that a listing lacks are dropped',
+        'ops/restoration.py',
+        '            if name in listed\n',
+        '',
+        _RESTORATION,
+    ),
+    guard_text.Guard(
+        'a block that ends while it is held stays ended',
+        'ops/rewriter.py',
+        'self._view.forget(registry.Kind.part_blocks, block.name)',
+        'pass',
+        _RESTORATION,
+    ),
 )
