--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -40,6 +40,13 @@
 #: execution.
 MAX_SLOT_REQUESTS = 6
 
+#: Errors that have an answer of their own, or that end the connection.
+_EXPECTED_ERRORS = (
+    error.PimentowayError,
+    message.MessageError,
+    connection.CallerDisconnectedError,
+)
+
 _LOG = log.Log('request')
 
 
@@ -110,7 +117,12 @@
         """
         arrived = clock.read_monotonic()
         writer = response_writer.ResponseWriter(caller, raw)
-        request = self._dialect.read_request(raw)
+        try:
+            with _convert_unexpected(''):
+                request = self._dialect.read_request(raw)
+        except error.InternalError as fault:
+            writer.write_error(fault)
+            return writer.keep_alive
         task = greenlet.getcurrent()
         self.active += 1
         self._tasks.add(task)
@@ -354,7 +366,7 @@
     # Without an answer, the caller could not tell whether the request was run.
     try:
         yield
-    except (error.PimentowayError, connection.CallerDisconnectedError):
+    except _EXPECTED_ERRORS:
         raise
     except Exception as fault:
         _LOG.write(
--- a/pimentoway/core/error.py
+++ b/pimentoway/core/error.py
@@ -157,7 +157,11 @@
 
 
 class InternalError(NotRunError):
-    """An error of an unexpected type, before the request was sent."""
+    """An error of an unexpected type.
+
+    Whether the request was run depends on where it was raised: whoever turns
+    it into an answer has to check that the request was not sent yet.
+    """
 
     code = 'internal'
 
--- a/pimentoway/platform/unanswered_process_test.py
+++ b/pimentoway/platform/unanswered_process_test.py
@@ -1,5 +1,6 @@
 """Tests that each request that was read whole gets an answer."""
 
+import dataclasses
 import functools
 import time
 
@@ -53,6 +54,30 @@
     assert float(headers['Retry-After']) > 0
 
 
+# Guards against connections that end without an answer because the head of the
+# request can't be decoded for an unexpected reason.
+@pytest.mark.parametrize('digits', [300, 400, 4000, 5000])
+def test_huge_time_limit_is_answered(digits: int) -> None:
+    """A number of any length in a header leads to some answer."""
+    harness = edge_process_test.NodeHarness(make_engine())
+    limit = '9' * digits
+    extra = f'Connection: close\r\nPimentoway-Deadline-Ms: {limit}\r\n'
+    status, _, _ = harness.call('/safe/x', extra=extra)
+    assert status in {200, 400}
+
+
+def test_unexpected_error_of_decoder_is_a_refusal() -> None:
+    """The request was not run, so the caller may send it again."""
+    harness = edge_process_test.NodeHarness(make_engine())
+    forwarder = harness.node._forwarder
+    forwarder._dialect = dataclasses.replace(
+        forwarder._dialect, read_request=raise_key_error
+    )
+    status, headers, _ = harness.call('/safe/x')
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
+
+
 # Guards against connections that end without an answer because an unexpected
 # error was raised after the request was sent to a back end.
 def test_error_after_dispatch_is_no_refusal() -> None:
