Withdraw a slot request that is refused after an unexpected error

A slot was taken until its node detached: the error came after the slot request had been queued, so the node was told that it was refused, and the broker granted it later. Failed before: test_refused_slot_request_gets_no_grant.

--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -251,3 +251,15 @@
         The refusal, after which a retry may go to another node.
     """
     return Refusal(request.number, Reason.overloaded, UNEXPECTED_RETRY_SECONDS)
+
+
+def withdraw(request: SlotRequest) -> Report:
+    """Withdraw a slot request that nobody waits for.
+
+    Args:
+        request: The slot request.
+
+    Returns:
+        The report.
+    """
+    return Report(request.number, Outcome.abandoned)
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -304,6 +304,7 @@
                 number=request.number,
                 reason=repr(fault),
             )
+            self.report(slot.withdraw(request))
             pending.reply.set(slot.refuse_unexpected(request))
 
     def _await_grant(self, pending: _Pending) -> slot.Grant:
--- a/pimentoway/platform/unanswered_process_test.py
+++ b/pimentoway/platform/unanswered_process_test.py
@@ -5,6 +5,7 @@
 import time
 
 import gevent
+import msgspec
 import pytest
 
 from pimentoway.core import deployment, message
@@ -103,6 +104,26 @@
     assert [reply.number for reply in replies] == [request.number]
 
 
+# Guards against slots that nobody uses: the error came after the slot request
+# had been queued, which was refused and later granted.
+def test_refused_slot_request_gets_no_grant() -> None:
+    """The broker forgets a slot request that it could not handle."""
+    node = edge_process_test.NodeHarness().node
+    replies: list[object] = []
+    node._links.reply = lambda requester, reply: replies.append(reply)
+    source = link.Link(None, 'n2', node.view)
+    source.requester = 'n2/1'
+    grant_slots = node.broker._grant_slots
+    node.broker._grant_slots = raise_key_error
+    request = msgspec.structs.replace(
+        slotclient_test.REQUEST, number=7, service='s', customer=''
+    )
+    node._on_message(source, request)
+    node.broker._grant_slots = grant_slots
+    assert len(replies) == 1
+    assert not node.broker.count_waiting()
+
+
 class FailingDialect:
     """A dialect whose answers can't be decoded for an unexpected reason."""
 
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -318,6 +318,8 @@
                 reason=repr(fault),
                 trace=traceback.format_exc(limit=-4),
             )
+            # It may have been queued, and a slot that it got would be lost.
+            self.broker.finish(requester, slot.withdraw(request))
             self._send_reply(requester, slot.refuse_unexpected(request))
 
     def _on_detach(self, requester: str) -> None:
