End only the watches of earlier eras, and survive a late end

A watch of the present era was ended too, and listed again; an end that came in the pause after a failed watch ended its task, which was restarted.

--- a/pimentoway/ops/registrywatcher.py
+++ b/pimentoway/ops/registrywatcher.py
@@ -91,13 +91,20 @@
         state = _WatchState()
         while True:
             if self._should_watch_store():
-                self._advance(kind, state)
+                self._advance_safely(kind, state)
             else:
                 # Records from other nodes are newer than the last listing.
                 state.listed = self._view.revision_by_kind[kind] > 0
                 state.confirmed = False
                 gevent.sleep(CHECK_SECONDS)
 
+    def _advance_safely(self, kind: registry.Kind, state: _WatchState) -> None:
+        try:
+            self._advance(kind, state)
+        except error.WatchExpiredError:
+            # The end of a watch came late, in the pause after it.
+            state.listed = False
+
     def _advance(self, kind: registry.Kind, state: _WatchState) -> None:
         watches = state.listed
         try:
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -374,6 +374,24 @@
     assert set(registry_view.engines_by_name) == {'a'}
 
 
+# Guards against a task that has to be restarted: the end of a watch, as the
+# store was restored, came in the pause after the watch had failed.
+def test_late_end_of_a_watch_is_survived() -> None:
+    """The task lists the records again."""
+    source = ScriptedRegistry(
+        registry.Listing(5, {}),
+        error.PlatformUnavailableError('busy', 'watch'),
+        registry.Listing(9, {}),
+    )
+    watcher = registrywatcher.RegistryWatcher(source, view.View(), lambda: True)
+    task = gevent.spawn(watcher.run, Kind.engines)
+    paused_loop.advance(0.01)
+    gevent.kill(task, error.WatchExpiredError('restored', 'watch'))
+    paused_loop.advance(1)
+    assert source.calls == ['list', 'watch 5', 'list', 'watch 9']
+    task.kill()
+
+
 def test_registrations_of_nodes_are_batched() -> None:
     """When all nodes start, their registrations end only few watches."""
     registry_view = view.View()
--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -77,7 +77,7 @@
         self._address = address
         self._pool = connection.Pool()
         self._era = 0
-        self._watching: set[gevent.Greenlet] = set()
+        self._era_by_watch: dict[gevent.Greenlet, int] = {}
 
     def list_records(self, kind: registry.Kind) -> registry.Listing:
         """List all records of a kind page by page.
@@ -230,12 +230,12 @@
         # A revision means nothing in another era: the same number may have
         # been given out again.
         current = gevent.getcurrent()
-        self._watching.add(current)
+        self._era_by_watch[current] = era
         try:
             self._check_era(era, self._era)
             answer = self._call('GET', path, wait_seconds=seconds)
         finally:
-            self._watching.discard(current)
+            self._era_by_watch.pop(current, None)
         self._check_era(era, self._read_era(answer))
         return answer
 
@@ -264,15 +264,14 @@
             'the era of the store changed.',
             era=era,
             before=self._era,
-            watches=len(self._watching),
+            watches=len(self._era_by_watch),
         )
         self._era = era
-        for watching in self._watching - {gevent.getcurrent()}:
-            # Nothing may end a wait that began before the restoration.
-            gevent.kill(
-                watching,
-                error.WatchExpiredError('the store was restored', 'watch'),
-            )
+        expired = error.WatchExpiredError('the store was restored', 'watch')
+        for watch, watched in self._era_by_watch.items():
+            # Nothing else may end a wait that began before the restoration.
+            if watched < era and watch is not gevent.getcurrent():
+                gevent.kill(watch, expired)
 
     def _call(
         self,
--- a/pimentoway/platform/store_test.py
+++ b/pimentoway/platform/store_test.py
@@ -6,10 +6,12 @@
 import json
 import time
 
+import gevent
 import pytest
 
 from pimentoway.core import connection, deployment, error, registry
 from pimentoway.platform import store, store_answer
+from pimentoway.standin import paused_loop
 
 PEER = deployment.Peer('n1', 'z', '1.2.3.4:5', 1.0)
 
@@ -406,6 +408,22 @@
     assert len(pool.calls) == 1
 
 
+def test_new_era_ends_only_earlier_watches() -> None:
+    """A watch that began after the restoration goes on."""
+    platform_registry, _ = make_registry(
+        (200, {'StoreRevision': 5}, 1), (200, {'StoreRevision': 4}, 2)
+    )
+    platform_registry.list_records(registry.Kind.peers)
+    watches = [gevent.spawn(gevent.sleep, 1000) for _ in range(2)]
+    paused_loop.advance(0.01)
+    platform_registry._era_by_watch = {watches[0]: 1, watches[1]: 2}
+    platform_registry.list_records(registry.Kind.engines)
+    paused_loop.advance(0.01)
+    assert isinstance(watches[0].exception, error.WatchExpiredError)
+    assert not watches[1].ready()
+    watches[1].kill()
+
+
 # Guards against a report that is written to another order, or another state of
 # it, which got the same revision after a restoration.
 def test_rollout_report_of_earlier_era_conflicts() -> None:
