Let the test of a refused slot request see its fault

The broker of the test had no back end, so the slot request was refused before the error that the test brings about. With an engine the test fails without the withdrawal (one request still waits) and passes with it.

--- a/pimentoway/platform/unanswered_process_test.py
+++ b/pimentoway/platform/unanswered_process_test.py
@@ -108,7 +108,7 @@
 # had been queued, which was refused and later granted.
 def test_refused_slot_request_gets_no_grant() -> None:
     """The broker forgets a slot request that it could not handle."""
-    node = edge_process_test.NodeHarness().node
+    node = edge_process_test.NodeHarness(make_engine()).node
     replies: list[object] = []
     node._links.reply = lambda requester, reply: replies.append(reply)
     source = link.Link(None, 'n2', node.view)
