--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -12,7 +12,13 @@
 import sys
 import tempfile
 
-from pimentoway.tools import edge_guard, guard_text, recovery_guard
+from pimentoway.tools import (
+    edge_guard,
+    guard_text,
+    input_guard,
+    notice_guard,
+    recovery_guard,
+)
 
 #: Number of copies tested in parallel.
 PARALLEL_COPIES = 6
@@ -41,6 +47,8 @@
 
 GUARDS = (
     *edge_guard.GUARDS,
+    *input_guard.GUARDS,
+    *notice_guard.GUARDS,
     *recovery_guard.GUARDS,
     guard_text.Guard(
         'claim before dispatch',
