Bear rollouts that end while another one is reported

Both tasks read the names of rollouts before calls to the store, which other tasks can use to remove one; a KeyError then restarted the task.

--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -205,13 +205,15 @@
         """Decide how the rollout of a service goes on.
 
         Args:
-            service: The service, which must have a rollout.
+            service: The service.
 
         Returns:
             The rollout and the state to report; None if there is no change
-            to report.
+            to report, or no rollout any more.
         """
-        order = self._view.rollouts_by_service[service]
+        order = self._view.rollouts_by_service.get(service)
+        if order is None:
+            return None
         running = self.engines.count_other_versions(service, order.version)
         return self.rollouts.decide(service, running)
 
--- a/pimentoway/ops/rewriter.py
+++ b/pimentoway/ops/rewriter.py
@@ -118,9 +118,13 @@
             for service, order in orders.items()
             if not order.reported
         }
-        for service, since in self._unreported_since.items():
-            if now - since >= self._follower_seconds:
-                self._report_state(orders[service])
+        due = [
+            orders[service]
+            for service, since in self._unreported_since.items()
+            if now - since >= self._follower_seconds
+        ]
+        for order in due:
+            self._report_state(order)
 
     def _report_state(self, order: deployment.Rollout) -> None:
         self._unreported_since[order.service] = clock.read_monotonic()
