--- a/pimentoway/ops/registrywatcher.py
+++ b/pimentoway/ops/registrywatcher.py
@@ -139,7 +139,10 @@
             snapshot = view.Snapshot(
                 kind, listing.revision, listing.records_by_name
             )
-            if not self._view.apply_snapshot(snapshot, 'store list'):
+            is_newer = self._view.apply_snapshot(
+                snapshot, 'store list', from_store=True
+            )
+            if not is_newer:
                 _LOG.write(
                     'listing is not newer than the known records.',
                     kind=kind.value,
--- a/pimentoway/ops/restoration.py
+++ b/pimentoway/ops/restoration.py
@@ -246,7 +246,7 @@
             if restored and kind not in UNHELD_KINDS:
                 self.hold(kind, [change.name], restored=True)
             return None if (kind, change.name) in self._held_by_key else change
-        chosen = self._choose(kind, change.name, known, change.record)
+        chosen = self._choose(change.name, known, change.record, restored)
         if chosen is None or chosen is known:
             return None
         return registry.Change(change.name, chosen)
@@ -275,22 +275,43 @@
             known or self._find_removed(kind, change.name), order
         )
 
-    def drop_doubts(
-        self, kind: registry.Kind, listed: collections.abc.Container[str]
+    def is_holding(self, kind: registry.Kind) -> bool:
+        """Tell whether records are held that a restored store lacks.
+
+        Args:
+            kind: The kind of the records.
+
+        Returns:
+            Whether there are any.
+        """
+        return any(
+            held.restored
+            for (held_kind, _), held in self._held_by_key.items()
+            if held_kind is kind
+        )
+
+    def note_listed(
+        self,
+        kind: registry.Kind,
+        listed: collections.abc.Collection[str],
+        from_store: bool,
     ) -> None:
-        """Drop copies of removed back ends that a listing no longer has.
+        """Note which records a listing has.
 
         Args:
-            kind: The kind of the listing.
-            listed: The names in it.
+            kind: The kind of the records.
+            listed: The names of the records.
+            from_store: Whether it is a listing of the store, not of another
+                node, which may hold blocks itself.
         """
-        if kind is not registry.Kind.engines:
-            return
-        self._doubted_by_name = {
-            name: doubted
-            for name, doubted in self._doubted_by_name.items()
-            if name in listed
-        }
+        if from_store or kind is not registry.Kind.part_blocks:
+            for name in listed:
+                self._held_by_key.pop((kind, name), None)
+        if kind is registry.Kind.engines:
+            self._doubted_by_name = _select(self._doubted_by_name, listed)
+        elif kind is registry.Kind.part_blocks and from_store:
+            for gone in set(self.outdated_blocks).difference(listed):
+                self.outdated_blocks.pop(gone)
 
     def take_running(self) -> list[deployment.Engine]:
         """Take the back ends whose entries outlasted ``LAPSE_SECONDS``.
@@ -319,15 +340,17 @@
 
     def _choose(
         self,
-        kind: registry.Kind,
         name: str,
         known: registry.Record | None,
         listed: registry.Record,
+        restored: bool,
     ) -> registry.Record | None:
         if isinstance(listed, deployment.Engine):
             return self._choose_engine(known, listed)
-        if kind is registry.Kind.part_blocks and known is None:
-            if self._find_removed(kind, name) is not None:
+        if isinstance(listed, deployment.PartBlock) and known is None:
+            kind = registry.Kind.part_blocks
+            was_removed = self._find_removed(kind, name) is not None
+            if name in self.outdated_blocks or (restored and was_removed):
                 self.outdated_blocks[name] = listed
                 return None
         return listed
@@ -384,3 +407,13 @@
     if engine.born != known.born:
         return engine.born < known.born
     return engine.sequence < known.sequence + or_equal
+
+
+def _select(
+    doubted_by_name: dict[str, _Doubted], names: collections.abc.Container[str]
+) -> dict[str, _Doubted]:
+    return {
+        name: doubted
+        for name, doubted in doubted_by_name.items()
+        if name in names
+    }
--- a/pimentoway/ops/restoration_test.py
+++ b/pimentoway/ops/restoration_test.py
@@ -45,7 +45,9 @@
         for record in records
     }
     node_view.apply_snapshot(
-        view.Snapshot(kind, revision, records_by_name), 'store list'
+        view.Snapshot(kind, revision, records_by_name),
+        'store list',
+        from_store=True,
     )
 
 
@@ -255,6 +257,89 @@
     assert bool(node_view._records_by_kind[kind]) == is_kept
 
 
+# Guards against records that are dropped although the store has them: they were
+# written again as they were, which is no change.
+@pytest.mark.parametrize(
+    ('kind', 'record'),
+    [
+        (Kind.engines, view_test.make_engine('a')),
+        (Kind.evacuations, OUT),
+        (Kind.part_blocks, BLOCK),
+    ],
+)
+def test_record_listed_again_is_held_no_longer(
+    kind: Kind, record: object
+) -> None:
+    """A listing that has it shows that it was written again."""
+    node_view = view.View()
+    write(node_view, 1, 50, kind, record)
+    write(node_view, 2, 40, kind)
+    write(node_view, 2, 41, kind, record)
+    assert not node_view.retained.list_held(kind)
+    wait_and_expire(node_view, restoration.GRACE_SECONDS + 0.1)
+    assert node_view.make_snapshot(kind).records_by_name
+
+
+# Guards against records that are kept for ever: a node hears of the restoration
+# from a node that started later and knows of no removal.
+@pytest.mark.parametrize('era', [1, 2])
+def test_node_that_started_later_sends_a_snapshot(era: int) -> None:
+    """Its first records are no changes after an earlier revision."""
+    started = view.View()
+    receiver = view.View()
+    write(receiver, 1, 30, Kind.engines, view_test.make_engine('a'))
+    write(started, era, 40, Kind.engines, view_test.make_engine('b'))
+    synchronize(started, receiver, Kind.engines)
+    wait_and_expire(receiver, restoration.GRACE_SECONDS + 0.1)
+    assert set(receiver.engines_by_name) == {'b'}
+
+
+# Guards against running back ends that get no requests: nobody had removed
+# them, their entries had only lapsed.
+def test_lapsed_engine_is_not_doubted() -> None:
+    """It is used as soon as its entry is there again."""
+    node_view = view.View()
+    engine = view_test.make_engine('a')
+    write(node_view, 1, 50, Kind.engines, engine)
+    write(node_view, 2, 40, Kind.engines)
+    wait_and_expire(node_view, restoration.GRACE_SECONDS + 0.1)
+    assert not node_view.engines_by_name
+    changes = registry.Changes(
+        registry.join_revision(2, 41), (registry.Change('a', engine),)
+    )
+    node_view.merge_changes(Kind.engines, changes, 'peer')
+    assert node_view.engines_by_name
+
+
+# Guards against a block that is deleted although it is new: an earlier one of
+# the part had ended before the restoration.
+def test_new_block_is_not_outdated() -> None:
+    """Only what the restored store has at first can be outdated."""
+    node_view = view.View()
+    write(node_view, 1, 50, Kind.part_blocks, BLOCK)
+    change(node_view, 1, 51, Kind.part_blocks, BLOCK.name, None)
+    write(node_view, 2, 40, Kind.part_blocks)
+    changes = registry.Changes(
+        registry.join_revision(2, 41), (registry.Change(BLOCK.name, BLOCK),)
+    )
+    node_view.merge_changes(Kind.part_blocks, changes, 'peer')
+    assert node_view.part_blocks_by_name
+    assert not node_view.retained.outdated_blocks
+
+
+# Guards against blocks that are forgotten after an outage of the store that was
+# longer than a watch.
+def test_block_is_held_after_a_long_outage() -> None:
+    """What counts is what was known when calls began to fail."""
+    node_view = view.View()
+    write(node_view, 1, 50, Kind.part_blocks, BLOCK)
+    for _ in range(40):
+        node_view.note_store_failure()
+        wait_and_expire(node_view, 1)
+    write(node_view, 2, 40, Kind.part_blocks)
+    assert node_view.retained.list_held(Kind.part_blocks)
+
+
 # Guards against back ends that are forgotten although they run: the store was
 # away again before they could write.
 def test_records_are_held_while_the_store_is_away() -> None:
--- a/pimentoway/ops/revisionlog.py
+++ b/pimentoway/ops/revisionlog.py
@@ -4,6 +4,10 @@
 
 from pimentoway.core import clock, registry
 
+#: Seconds after a failed call to the store in which entries may expire
+#: although their back ends are running.
+STORE_FAILURE_SECONDS = 3.0
+
 #: Seconds after the latest answer of the store, or change from another node, in
 #: which this node knows what was in the store; a watch waits less long.
 CURRENT_SECONDS = 30.0
@@ -24,11 +28,15 @@
     Attributes:
         revision_by_kind: The revision of the store at which the records of
             each kind are current; 0 if none were received yet.
+        store_failed_at: The monotonic time of the latest call to the store
+            that failed.
     """
 
     def __init__(self) -> None:
         """Start without records."""
         self.revision_by_kind = dict.fromkeys(registry.Kind, 0)
+        self.store_failed_at = float('-inf')
+        self._store_failing_since = float('-inf')
         self._noted_at_by_kind = dict.fromkeys(registry.Kind, float('-inf'))
         self._settled_at_by_kind = dict.fromkeys(registry.Kind, float('-inf'))
         self._history_by_kind: dict[registry.Kind, collections.deque] = {
@@ -51,17 +59,36 @@
         known_era, _ = registry.split_revision(known)
         return 0 < known and known_era < era
 
-    def is_current(self, kind: registry.Kind) -> bool:
-        """Tell whether the records are those of the store, as far as is known.
+    def note_store_failure(self) -> None:
+        """Record that a call to the store failed."""
+        now = clock.read_monotonic()
+        if not self.is_store_failing():
+            self._store_failing_since = now
+        self.store_failed_at = now
+
+    def is_store_failing(self) -> bool:
+        """Tell whether calls to the store failed lately.
+
+        Returns:
+            Whether one did in the last ``STORE_FAILURE_SECONDS``.
+        """
+        age = clock.read_monotonic() - self.store_failed_at
+        return age < STORE_FAILURE_SECONDS
+
+    def was_current(self, kind: registry.Kind) -> bool:
+        """Tell whether the records were those of the store before it failed.
 
         Args:
             kind: The kind of the records.
 
         Returns:
-            Whether something was noted in the last ``CURRENT_SECONDS``.
+            Whether something was noted in the ``CURRENT_SECONDS`` before calls
+            to the store began to fail, or before now if none fails.
         """
-        age = clock.read_monotonic() - self._noted_at_by_kind[kind]
-        return age < CURRENT_SECONDS
+        time = clock.read_monotonic()
+        if self.is_store_failing():
+            time = self._store_failing_since
+        return time - self._noted_at_by_kind[kind] < CURRENT_SECONDS
 
     def is_settling(self, kind: registry.Kind) -> bool:
         """Tell whether the store was restored lately.
@@ -88,8 +115,9 @@
             self._settled_at_by_kind[kind] = now + SETTLE_SECONDS
             # Other nodes need what is known here, not what the store lacks.
             history.clear()
-        elif kind is not registry.Kind.configuration:
-            # Steps between configurations are not kept but computed.
+        elif known and kind is not registry.Kind.configuration:
+            # The first records don't tell what was removed before them, and
+            # steps between configurations are not kept but computed.
             history.append((known, changes))
         self.revision_by_kind[kind] = max(known, changes.revision)
         self._noted_at_by_kind[kind] = now
--- a/pimentoway/ops/view.py
+++ b/pimentoway/ops/view.py
@@ -4,13 +4,9 @@
 import dataclasses
 import types
 
-from pimentoway.core import clock, deployment, log, registry
+from pimentoway.core import deployment, log, registry
 from pimentoway.ops import restoration, revisionlog
 
-#: Seconds after a failed call to the store in which entries may expire
-#: although their back ends are running.
-STORE_FAILURE_SECONDS = 3.0
-
 #: The earlier configurations that are kept, so that nodes that have one of them
 #: need only the routes that changed. Equal routes are the same objects in all.
 KEPT_CONFIGURATIONS = 8
@@ -62,7 +58,6 @@
             collections.deque(maxlen=KEPT_CONFIGURATIONS)
         )
         self._callbacks: list[Callback] = []
-        self._store_failed_at = float('-inf')
 
     @property
     def version(self) -> int:
@@ -147,9 +142,11 @@
 
     def note_store_failure(self) -> None:
         """Record that a call to the store failed."""
-        self._store_failed_at = clock.read_monotonic()
+        self._log.note_store_failure()
 
-    def apply_snapshot(self, snapshot: Snapshot, source: str) -> bool:
+    def apply_snapshot(
+        self, snapshot: Snapshot, source: str, from_store: bool = False
+    ) -> bool:
         """Replace all records of a kind, if the snapshot is newer.
 
         A configuration is newer by its version, whatever the revision: a
@@ -158,6 +155,7 @@
         Args:
             snapshot: The records.
             source: Where they came from, for the log.
+            from_store: Whether they are a listing of the store.
 
         Returns:
             Whether the snapshot was newer than the known records.
@@ -169,13 +167,15 @@
         changes = _compare(
             self._records_by_kind[kind], snapshot.records_by_name
         )
-        if kind is registry.Kind.part_blocks and self._log.is_current(kind):
-            if self._log.is_restored(kind, snapshot.revision):
+        if self._log.is_restored(kind, snapshot.revision):
+            if kind is registry.Kind.part_blocks and self._log.was_current(
+                kind
+            ):
                 changes = self.retained.hold_removed(kind, changes)
         self.merge_changes(
             kind, registry.Changes(snapshot.revision, changes), source
         )
-        self.retained.drop_doubts(kind, snapshot.records_by_name)
+        self.retained.note_listed(kind, snapshot.records_by_name, from_store)
         return True
 
     def make_snapshot(self, kind: registry.Kind) -> Snapshot:
@@ -257,8 +257,8 @@
             changes: The changes, and the revision up to which they reach.
             source: Where they came from, for the log.
         """
-        held = self.retained.list_held(kind)
-        reconciles = bool(held) or self._log.is_settling(kind)
+        reconciles = self.retained.is_holding(kind)
+        reconciles = reconciles or self._log.is_settling(kind)
         self._apply_all(kind, changes, source, reconciles)
 
     def expire(self) -> None:
@@ -267,9 +267,13 @@
         A back end whose entry outlasted its removal counts as running again.
         """
         changed = set()
-        overdue = self.retained.take_overdue(self._store_failed_at)
+        overdue = self.retained.take_overdue(self._log.store_failed_at)
         for kind, name in overdue:
-            self._drop(kind, name)
+            if kind is registry.Kind.engines:
+                # Nobody removed it, so a copy of its entry is no old one.
+                self._records_by_kind[kind].pop(name, None)
+            else:
+                self._drop(kind, name)
             changed.add(kind)
             _LOG.write(
                 'record removed, it was not renewed.',
@@ -376,10 +380,7 @@
         engine = self._records_by_kind[registry.Kind.engines].get(name)
         if engine is None or engine.draining:
             return False
-        return (
-            clock.read_monotonic() - self._store_failed_at
-            < STORE_FAILURE_SECONDS
-        )
+        return self._log.is_store_failing()
 
     def _apply_configuration(
         self, newer: deployment.Deployment, source: str
--- a/pimentoway/platform/recording_engine.py
+++ b/pimentoway/platform/recording_engine.py
@@ -135,7 +135,11 @@
         if self.pause_seconds:
             refusal = scripted_engine.Script(
                 _UNAVAILABLE,
-                headers=(_NOT_RUN, f'Retry-After: {self.pause_seconds}'),
+                headers=(
+                    _NOT_RUN,
+                    f'Retry-After: {self.pause_seconds}',
+                    *leaving,
+                ),
             )
             return super()._answer(sock, request, refusal)
         self.runs.append(Run(attempt_id, self.name, now))
--- a/pimentoway/tools/recovery_guard.py
+++ b/pimentoway/tools/recovery_guard.py
@@ -97,8 +97,8 @@
     guard_text.Guard(
         'lost blocks of parts are kept',
         'ops/view.py',
-        '            if self._log.is_restored(kind, snapshot.revision):\n',
-        '            if False:\n',
+        '        if self._log.is_restored(kind, snapshot.revision):\n',
+        '        if False:\n',
         _RESTORATION,
     ),
     guard_text.Guard(
@@ -118,7 +118,7 @@
     guard_text.Guard(
         'held records survive another listing',
         'ops/view.py',
-        'reconciles = bool(held) or self._log.is_settling(kind)',
+        'reconciles = reconciles or self._log.is_settling(kind)',
         'reconciles = False',
         _RESTORATION,
     ),
@@ -139,7 +139,7 @@
     guard_text.Guard(
         'copies that a listing lacks are dropped',
         'ops/restoration.py',
-        '            if name in listed\n',
+        '        if name in names\n',
         '',
         _RESTORATION,
     ),
@@ -150,4 +150,25 @@
         'pass',
         _RESTORATION,
     ),
+    guard_text.Guard(
+        'a record that is listed again is held no longer',
+        'ops/restoration.py',
+        '                self._held_by_key.pop((kind, name), None)\n',
+        '                pass\n',
+        _RESTORATION,
+    ),
+    guard_text.Guard(
+        'first records are no changes',
+        'ops/revisionlog.py',
+        'elif known and kind is not registry.Kind.configuration:',
+        'elif kind is not registry.Kind.configuration:',
+        _RESTORATION,
+    ),
+    guard_text.Guard(
+        'a fresh block is not outdated',
+        'ops/restoration.py',
+        'name in self.outdated_blocks or (restored and was_removed)',
+        'was_removed',
+        _RESTORATION,
+    ),
 )
