--- a/pimentoway/ops/restoration_test.py
+++ b/pimentoway/ops/restoration_test.py
@@ -208,18 +208,22 @@
 
 # Guards against nodes that undo each other's reconciliation: they list the
 # restored store one after the other, or start after the restoration.
-@pytest.mark.parametrize('starts', [True, False])
-def test_known_notices_are_passed_on(starts: bool) -> None:
+@pytest.mark.parametrize('receives', ['at start', 'late', 'after a listing'])
+def test_known_notices_are_passed_on(receives: str) -> None:
     """Others get what a node knows, not the copy that the store has."""
     ready = view_test.make_engine('a', sequence=3)
     gone = view_test.make_engine('g', sequence=3)
     leaving = dataclasses.replace(ready, draining=True, sequence=4)
     sender = view.View()
     receiver = view.View()
-    for node_view in [sender] if starts else [sender, receiver]:
-        write(node_view, 1, 50, Kind.engines, leaving, gone)
-        change(node_view, 1, 51, Kind.engines, 'g', None)
-    if not starts:
+    if receives != 'at start':
+        write(receiver, 1, 49, Kind.engines, ready)
+    write(sender, 1, 48, Kind.engines, ready)
+    for node_view in [sender, receiver][: 1 + (receives == 'after a listing')]:
+        change(node_view, 1, 50, Kind.engines, 'a', leaving)
+        change(node_view, 1, 51, Kind.engines, 'g', gone)
+        change(node_view, 1, 52, Kind.engines, 'g', None)
+    if receives == 'after a listing':
         write(receiver, 2, 40, Kind.engines, ready, gone)
     write(sender, 2, 45, Kind.engines, ready, gone)
     synchronize(sender, receiver, Kind.engines)
