Add the fields that paths, relays and brittle back ends need to messages

Grants name a relay, reports tell of a path and of how many rejections a back end bears, and nodes register the address at which they relay. Nothing sends or reads them yet; nodes of earlier releases ignore them.

--- a/pimentoway/core/deployment.py
+++ b/pimentoway/core/deployment.py
@@ -426,9 +426,12 @@
         zone: The name of its failure domain.
         address: The address for connections from other nodes.
         cores: The CPU time available to it, in cores.
+        relay_address: The address at which it relays requests of other nodes;
+            '' if it does not.
     """
 
     name: str
     zone: str
     address: str
     cores: float
+    relay_address: str = ''
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -53,6 +53,10 @@
     # The connection closed before the answer was complete, and the back end
     # refuses new ones.
     crashed = 11
+    # The relay that the grant names could not be reached or took no request.
+    relay_lost = 12
+    # The request was sent, and the peer's kernel acknowledged none of it.
+    unacknowledged = 13
 
 
 #: The outcomes of runs whose connection closed before their end.
@@ -66,12 +70,15 @@
         Outcome.misdirected,
         Outcome.unreachable,
         Outcome.unused,
+        Outcome.relay_lost,
     ),
 )
 
 #: The outcomes where nothing was sent to the back end. The request then asks
 #: for its next slot like a new one, so its quota cost is refunded first.
-UNSENT_OUTCOMES = frozenset((Outcome.unreachable, Outcome.unused))
+UNSENT_OUTCOMES = frozenset(
+    (Outcome.unreachable, Outcome.unused, Outcome.relay_lost)
+)
 
 #: The outcomes of runs that may have ended early because they were slow.
 UNFINISHED_OUTCOMES = frozenset((Outcome.abandoned, Outcome.silent))
@@ -85,9 +92,14 @@
         Outcome.silent,
         Outcome.malformed,
         Outcome.misdirected,
+        Outcome.unacknowledged,
     ),
 )
 
+#: The faults that concern the connection between a node and a back end: they
+#: tell of the path until other nodes report the same.
+PATH_OUTCOMES = frozenset((Outcome.unreachable, Outcome.unacknowledged))
+
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A request for a slot of a back end, on behalf of a caller's request.
@@ -147,10 +159,13 @@
     Attributes:
         number: The number of the slot request.
         engine: The name of the back end.
+        via: The name of the node that relays the request; '' if the node
+            connects to the back end itself.
     """
 
     number: int
     engine: str
+    via: str = ''
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -189,12 +204,24 @@
     pause_seconds: float = 0
 
 
+class PathReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a node found when it checked its path to a back end.
+
+    Attributes:
+        engine: The name of the back end.
+        is_open: Whether it accepted a connection.
+    """
+
+    engine: str
+    is_open: bool
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Reports the outcome of a grant, or withdraws a slot request.
 
     Attributes:
         number: The number of the slot request; ``NOTICE_NUMBER`` if the report
-            only carries a notice.
+            only carries a notice or tells of a path.
         outcome: The outcome.
         first_seconds: Seconds from dispatch to the first event; 0 if none came.
         total_seconds: Seconds from dispatch to the end of the answer.
@@ -204,6 +231,10 @@
         waiting: The requests that waited at the back end.
         cold_seconds: Seconds that the back end stays cold; -1 if not reported.
         notice: What a back end announced of itself; nothing in other reports.
+        tolerated_rejections: How many requests a second the back end can turn
+            away, as it said with the answer; negative if it stated no limit,
+            nothing if no answer began.
+        path: What the node found of a path; nothing in other reports.
     """
 
     number: int
@@ -215,6 +246,8 @@
     waiting: int = 0
     cold_seconds: float = -1
     notice: EngineNotice | None = None
+    tolerated_rejections: int | None = None
+    path: PathReport | None = None
 
 
 class ActiveGrant(msgspec.Struct, frozen=True, array_like=True):
@@ -223,10 +256,12 @@
     Attributes:
         request: The slot request.
         engine: The name of the back end that runs it.
+        via: The name of the node that relays it; '' if none does.
     """
 
     request: SlotRequest
     engine: str
+    via: str = ''
 
 
 class QuotaUsage(msgspec.Struct, frozen=True, array_like=True):
--- a/pimentoway/platform/record.py
+++ b/pimentoway/platform/record.py
@@ -198,6 +198,8 @@
     zone: NonEmptyText
     address: NonEmptyText
     cores: Cores
+    # Nodes of earlier releases do not relay.
+    relay_address: str = ''
 
 
 class _PartBlock(_Pascal):
@@ -341,11 +343,14 @@
 def _decode_peer(stored: StoredObject) -> deployment.Peer:
     raw = msgspec.json.decode(stored.spec, type=_Peer)
     validation.check_address(raw.address)
+    if raw.relay_address:
+        validation.check_address(raw.relay_address)
     return deployment.Peer(
         name=stored.metadata.name,
         zone=raw.zone,
         address=raw.address,
         cores=raw.cores,
+        relay_address=raw.relay_address,
     )
 
 
@@ -379,7 +384,7 @@
     Returns:
         The ``Spec`` of its object in the store.
     """
-    raw = _Peer(peer.zone, peer.address, peer.cores)
+    raw = _Peer(peer.zone, peer.address, peer.cores, peer.relay_address)
     return msgspec.to_builtins(raw)
 
 
