Show that requests are lost while a back end is silent

Streams that can't be resumed, safe and unsafe requests come whole, and a dead back end is left in time.

--- a/pimentoway/platform/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -146,12 +146,14 @@
         self,
         *engines: scripted_engine.ScriptedEngine,
         memory_bytes: int = 0,
+        **bounds: object,
     ) -> None:
         """Start a node on free ports of localhost.
 
         Args:
             *engines: The engines.
             memory_bytes: The memory of the node; 0 if it is not bounded.
+            **bounds: Fields of its bounds that replace the defaults.
         """
         first = port.find_ports(4)
         ports = list(range(first, first + 4))
@@ -170,7 +172,7 @@
             memory_bytes=memory_bytes,
             descriptors=1000,
             zones=('z',),
-            bounds=nodesetting.Bounds(grace=4),
+            bounds=nodesetting.Bounds(**{'grace': 4, **bounds}),
         )
         platform = edge.Platform(FakeRegistry(), wire.DIALECT, lambda: settings)
         self.node = edge.EdgeNode(settings, platform)
--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -50,6 +50,10 @@
         foreign: Whether an answer to another attempt is sent first.
         stray: Bytes that are sent first, such as an earlier answer.
         silent: Whether no answer is sent at all.
+        silence: Seconds for which the engine once sends nothing, besides its
+            pauses.
+        silent_after: The number of pieces after which that happens; negative
+            if before the head.
         endless: Bytes that are sent again and again after the body, until the
             peer closes the connection.
         endless_head: Whether ``endless`` comes before the end of the head.
@@ -69,6 +73,8 @@
     foreign: bool = False
     stray: bytes = b''
     silent: bool = False
+    silence: float = 0
+    silent_after: int = -1
     endless: bytes = b''
     endless_head: bool = False
     cut_before: bytes = b''
@@ -82,8 +88,8 @@
         address: The IP number and port.
         scripts: The answers to the next requests; the last one is reused.
         requests: The requests that reached it, in order.
-        abandoned: The unanswered requests whose connection the peer closed;
-            counted for silent scripts only.
+        abandoned: The requests whose connection the peer closed while it was
+            silent.
     """
 
     def __init__(self, name: str, *scripts: Script) -> None:
@@ -162,11 +168,8 @@
         gevent.sleep(script.pause)
         if not self._send_head(sock, request, script):
             return False
-        for number, piece in enumerate(script.body):
-            ended = script.close_after == number
-            if ended or not self._send_piece(sock, script, piece):
-                return False
-            gevent.sleep(script.pause)
+        if not self._send_body(sock, script):
+            return False
         if script.endless:
             return _send_without_end(sock, script.endless)
         if script.chunked:
@@ -175,6 +178,22 @@
             _reset_on_close(sock)
         return not (script.unframed or script.reset)
 
+    def _keep_silent(
+        self, sock: gevent_socket.socket, script: Script, number: int
+    ) -> bool:
+        # Returns whether the peer still waits for the answer.
+        if not script.silence or script.silent_after != number:
+            return True
+        sock.settimeout(script.silence)
+        try:
+            left = not sock.recv(BLOCK_BYTES)
+        except TimeoutError:
+            left = False
+        finally:
+            sock.settimeout(None)
+        self.abandoned += left
+        return not left
+
     def _send_head(
         self,
         sock: gevent_socket.socket,
@@ -191,6 +210,8 @@
         Returns:
             Whether the answer goes on.
         """
+        if not self._keep_silent(sock, script, -1):
+            return False
         head = self._make_head(request, script)
         if script.cut_before:
             sock.sendall(head[: head.index(script.cut_before)])
@@ -201,6 +222,16 @@
         sock.sendall(head)
         return True
 
+    def _send_body(self, sock: gevent_socket.socket, script: Script) -> bool:
+        for number, piece in enumerate(script.body):
+            if not self._keep_silent(sock, script, number):
+                return False
+            ended = script.close_after == number
+            if ended or not self._send_piece(sock, script, piece):
+                return False
+            gevent.sleep(script.pause)
+        return True
+
     def _send_piece(
         self, sock: gevent_socket.socket, script: Script, piece: bytes
     ) -> bool:
--- /dev/null
+++ b/pimentoway/platform/silent_process_test.py
@@ -0,0 +1,257 @@
+"""Tests of back ends that fall silent, with a whole node over real sockets."""
+
+import socket
+import time
+
+import gevent
+import pytest
+from gevent import socket as gevent_socket
+
+from pimentoway.callers import backend_attempt
+from pimentoway.core import connection
+from pimentoway.platform import edge_process_test, scripted_engine
+
+Script = scripted_engine.Script
+EVENTS = edge_process_test.EVENTS
+
+RESUMABLE = '/resumable/x'
+LAST_CHUNK = b'0\r\n\r\n'
+
+#: How a back end turns a request away for want of room.
+FULL = Script(503, headers=('Pimentoway-Not-Executed: 1',))
+
+#: The longest silence, in seconds, of a back end that is sound.
+LONGEST_SILENCE_SECONDS = 1.9
+
+#: Seconds within which a run that goes on elsewhere has left its first back
+#: end.
+LEAVING_SECONDS = 0.4
+
+#: Seconds after the end of a silence within which the answer goes on.
+DELAY_SECONDS = 0.4
+
+
+class ConnectionRecorder:
+    """Opens connections, and keeps the last one."""
+
+    def __init__(self) -> None:
+        """Keep the function that opens them."""
+        self._connect = connection.connect
+        self._sock: gevent_socket.socket | None = None
+
+    def connect(self, *args: object) -> gevent_socket.socket:
+        """Connect to a peer.
+
+        Args:
+            *args: As for ``connection.connect``.
+
+        Returns:
+            The connection.
+        """
+        self._sock = self._connect(*args)
+        return self._sock
+
+    def read_option(self, option: int) -> int:
+        """Read a TCP option of the last connection.
+
+        Args:
+            option: The option.
+
+        Returns:
+            Its value.
+        """
+        return self._sock.getsockopt(socket.IPPROTO_TCP, option)
+
+
+def make_stream(silence: float = 0, silent_after: int = -1) -> Script:
+    """Script a stream with a silence.
+
+    Args:
+        silence: Its seconds.
+        silent_after: The number of events before it; negative if the head
+            comes after it, too.
+
+    Returns:
+        The script.
+    """
+    return Script(
+        body=EVENTS,
+        headers=('Content-Type: text/event-stream',),
+        chunked=True,
+        pause=0.01,
+        silence=silence,
+        silent_after=silent_after,
+    )
+
+
+def check_whole(answer: tuple[int, dict, bytes]) -> None:
+    """Check that a stream came whole, each event once.
+
+    Args:
+        answer: The answer.
+    """
+    status, _, body = answer
+    assert status == 200
+    assert body.endswith(LAST_CHUNK)
+    events = b''.join(line for line in body.split(b'\r\n') if b'id:' in line)
+    assert events == b''.join(EVENTS)
+
+
+# A stream that its back end would have finished was broken off, or answered
+# with 504, as its connection was closed before another one was found.
+@pytest.mark.parametrize('silence', [1.4, 1.8])
+@pytest.mark.parametrize('silent_after', [-1, 0, 1, 3])
+@pytest.mark.xfail(strict=True)
+def test_silence_of_one_engine_ends_no_stream(
+    silent_after: int, silence: float
+) -> None:
+    """The stream goes on with the back end that was silent."""
+    engine = scripted_engine.ScriptedEngine(
+        'e1', make_stream(silence, silent_after)
+    )
+    harness = edge_process_test.NodeHarness(engine)
+    check_whole(harness.call(RESUMABLE))
+    assert len(engine.requests) == 1
+
+
+# The same, beside a back end that refuses the request for want of room.
+@pytest.mark.parametrize('silent_after', [-1, 1, 3])
+@pytest.mark.xfail(strict=True)
+def test_refusal_elsewhere_ends_no_silent_stream(
+    silent_after: int,
+) -> None:
+    """The run is given up only for one that another back end accepts."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(1.5, silent_after))
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    full = scripted_engine.ScriptedEngine('e2', FULL)
+    harness.add(full)
+    check_whole(call.get())
+    assert full.requests
+
+
+# The same, beside changes of the configuration.
+@pytest.mark.parametrize('silent_after', [-1, 2])
+@pytest.mark.xfail(strict=True)
+def test_changes_beside_a_silence_end_no_stream(silent_after: int) -> None:
+    """A configuration that comes meanwhile does not matter."""
+    engine = scripted_engine.ScriptedEngine(
+        'e1', make_stream(1.5, silent_after)
+    )
+    harness = edge_process_test.NodeHarness(engine)
+    call = gevent.spawn(harness.call, RESUMABLE)
+    for version in range(2, 8):
+        gevent.sleep(0.25)
+        harness.configure(version)
+    check_whole(call.get())
+
+
+# The same, while the retry budget is used up.
+@pytest.mark.xfail(strict=True)
+def test_silence_without_budget_ends_no_stream() -> None:
+    """The slot for another run is refused, and the first run goes on."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(1.5, 2))
+    two = scripted_engine.ScriptedEngine('e2', make_stream())
+    harness = edge_process_test.NodeHarness(one, retry_slack=0, retry_ratio=0)
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    harness.add(two)
+    check_whole(call.get())
+    assert not two.requests
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x'])
+@pytest.mark.parametrize('silent_after', [-1, 0])
+def test_silence_ends_no_other_request(path: str, silent_after: int) -> None:
+    """Requests that can't go on elsewhere wait for their back end."""
+    script = make_stream(LONGEST_SILENCE_SECONDS, silent_after)
+    engine = scripted_engine.ScriptedEngine('e1', script)
+    status, _, body = edge_process_test.NodeHarness(engine).call(path)
+    assert status == 200
+    assert EVENTS[-1] in body
+    assert len(engine.requests) == 1
+
+
+# All back ends were silent at the same time.
+@pytest.mark.parametrize('silent_after', [-1, 2])
+def test_silence_of_all_engines_ends_no_stream(silent_after: int) -> None:
+    """The stream comes from whichever back end answers."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(1.7, silent_after))
+    rest = Script(
+        body=EVENTS[2:] if silent_after == 2 else EVENTS,
+        headers=('Content-Type: text/event-stream',),
+        chunked=True,
+        pause=0.01,
+        silence=0.7,
+    )
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    harness.add(scripted_engine.ScriptedEngine('e2', rest))
+    check_whole(call.get())
+
+
+@pytest.mark.parametrize('silent_after', [-1, 2])
+def test_stream_leaves_a_dead_engine_in_time(silent_after: int) -> None:
+    """It goes on elsewhere, and not at two back ends at once."""
+    dead = scripted_engine.ScriptedEngine('e1', make_stream(60, silent_after))
+    harness = edge_process_test.NodeHarness(dead)
+    started = time.monotonic()
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    rest = Script(
+        body=EVENTS[2:] if silent_after == 2 else EVENTS,
+        headers=('Content-Type: text/event-stream',),
+        chunked=True,
+        pause=0.2,
+    )
+    two = scripted_engine.ScriptedEngine('e2', rest)
+    harness.add(two)
+    while not two.requests:
+        gevent.sleep(0.01)
+    gevent.sleep(LEAVING_SECONDS)
+    assert dead.abandoned == 1
+    check_whole(call.get())
+    waited = time.monotonic() - started
+    assert waited < backend_attempt.RESUME_SECONDS + 2
+
+
+# An event of the first back end came while the second one was asked.
+@pytest.mark.xfail(strict=True)
+def test_stream_goes_on_with_the_first_event() -> None:
+    """No event comes twice, and the other run is cancelled."""
+    silence = backend_attempt.RESUME_SECONDS + 0.1
+    one = scripted_engine.ScriptedEngine('e1', make_stream(silence, 2))
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    two = scripted_engine.ScriptedEngine('e2', Script(silent=True))
+    harness.add(two)
+    check_whole(call.get())
+    assert len(two.requests) == 1
+    gevent.sleep(0.1)
+    assert two.abandoned == 1
+
+
+# Beyond TCP_USER_TIMEOUT, the kernel ends a connection whatever the count of
+# keep-alive probes.
+@pytest.mark.xfail(strict=True)
+def test_connections_to_engines_outlast_a_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """No socket option ends one within a silence of a sound back end."""
+    recorder = ConnectionRecorder()
+    monkeypatch.setattr(connection, 'connect', recorder.connect)
+    engine = scripted_engine.ScriptedEngine('e1', make_stream(0.5, 1))
+    harness = edge_process_test.NodeHarness(engine)
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.2)
+    timeout = recorder.read_option(socket.TCP_USER_TIMEOUT)
+    idle = recorder.read_option(socket.TCP_KEEPIDLE)
+    interval = recorder.read_option(socket.TCP_KEEPINTVL)
+    probes = recorder.read_option(socket.TCP_KEEPCNT)
+    check_whole(call.get())
+    bound = 2 * LONGEST_SILENCE_SECONDS
+    assert timeout / 1000 >= bound
+    assert idle + interval * probes >= bound
