--- a/pimentoway/platform/recording_engine.py
+++ b/pimentoway/platform/recording_engine.py
@@ -68,9 +68,10 @@
 class RecordingEngine(scripted_engine.ScriptedEngine):
     """An engine that runs each request and answers by its path.
 
-    Half of its streams have neither a length nor chunks.
+    Half of its streams have neither a length nor chunks, if so wanted.
 
     Attributes:
+        unframed: Whether half of its streams end with their connection.
         crashing: Whether it ends its streams within their next event.
         leaving: Whether it announces in its answers that it leaves.
         pause_seconds: The time with which it turns requests away; 0 if it runs
@@ -88,6 +89,7 @@
             name: The name that requests must expect.
         """
         super().__init__(name)
+        self.unframed = True
         self.crashing = False
         self.leaving = False
         self.pause_seconds: float = 0
@@ -144,7 +146,7 @@
             return super()._answer(sock, request, refusal)
         self.runs.append(Run(attempt_id, self.name, now))
         gevent.sleep(RUN_SECONDS)
-        script = _make_script(attempt_id, request)
+        script = _make_script(attempt_id, request, self.unframed)
         return super()._answer(
             sock,
             request,
@@ -164,13 +166,14 @@
 
 
 def _make_script(
-    attempt_id: str, request: message.Request
+    attempt_id: str, request: message.Request, may_be_unframed: bool
 ) -> scripted_engine.Script:
     if not request.target.startswith((STREAM_PREFIX, RESUMABLE_PREFIX)):
         return scripted_engine.Script(body=(make_body(attempt_id),))
     after = request.list_header_values(_LAST_EVENT_ID)
     events = list_events(attempt_id)[int(after[0]) if after else 0 :]
-    unframed = bool(zlib.crc32(attempt_id.encode()) % 2)
+    is_odd = bool(zlib.crc32(attempt_id.encode()) % 2)
+    unframed = may_be_unframed and is_odd
     return scripted_engine.Script(
         body=tuple(events),
         headers=('Content-Type: text/event-stream',),
