Return the slot of a request that was lost on its way

A request that hung on a lost path held its back end's slot until its caller's deadline, so that callers of all nodes waited for slots that were free.

If the kernel of the back end has acknowledged nothing 0.4 s after a request was sent, the node now reports it as unacknowledged, which returns the slot, and looks for another back end if the request may be repeated. One that must not run twice goes on waiting: the back end may have it. What is still on its way is dropped when the connection is closed.

The tests give the counter of unacknowledged bytes a false value, as on the loopback the kernel answers.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -170,7 +170,19 @@
         Returns:
             Whether it has acknowledged every byte.
         """
-        return not connection.count_unacknowledged(self._sock)
+        return not self.count_unacknowledged()
+
+    def count_unacknowledged(self) -> int:
+        """Count the sent bytes that the peer's kernel has not acknowledged.
+
+        Returns:
+            The number of bytes.
+        """
+        return connection.count_unacknowledged(self._sock)
+
+    def reset_on_close(self) -> None:
+        """Drop the bytes on their way when the connection is closed."""
+        connection.reset_on_close(self._sock)
 
     def fileno(self) -> int:
         """Return the file descriptor of the socket.
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -19,6 +19,10 @@
 #: healthy stream. A stalled back end may still send comments or single bytes.
 RESUME_SECONDS = 1.2
 
+#: Seconds after which a request is taken as lost on its way if the kernel of
+#: the back end has acknowledged none of it since: its slot is given back.
+UNACKNOWLEDGED_SECONDS = 0.4
+
 #: The shortest read, in seconds, from a silent back end that has sent
 #: something: the rest of it may be on its way.
 MIN_READ_SECONDS = 0.02
@@ -67,6 +71,7 @@
         first_event_seconds: The time from the start to the first event or to
             a complete response; 0 before that.
         handover: Looks for another back end while this one is silent.
+        is_lost: Whether the request was reported as lost on its way.
     """
 
     def __init__(
@@ -93,12 +98,17 @@
         self.outcome = slot.Outcome.unused
         self.first_event_seconds: float = 0
         self.handover = handover.Handover(prepare_next, context.may_retry)
+        self.is_lost = False
         self._dependencies = dependencies
         self._context = context
         self._slot_request = slot_request
         self._started = clock.read_monotonic()
         self._progressed_at = self._started
         self._events_before = context.event_splitter.count
+        # The bytes that the back end's kernel has not acknowledged, and when
+        # they were counted last.
+        self._unacknowledged = 0
+        self._counted_at: float = 0
 
     def connect(self) -> None:
         """Connect to the back end, or report to the broker if that fails.
@@ -141,6 +151,7 @@
             )
         except error.ConnectionLostError as fault:
             raise self.handle_cut(fault) from fault
+        self._count_unacknowledged()
 
     def poll_head(self) -> bool:
         """Read the head of the response if it has arrived.
@@ -221,10 +232,11 @@
         context = self._context
         if not silent:
             self._check_crash()
-        if self.handover.has_attempt():
-            return attempt_error.HandedOverError()
-        if context.may_retry() and clock.read_monotonic() < context.deadline:
-            return self.make_retry()
+        if clock.read_monotonic() < context.deadline:
+            if self.handover.has_attempt():
+                return attempt_error.HandedOverError()
+            if context.may_retry():
+                return self.make_retry()
         if silent:
             return error.OutcomeUnknownError(
                 'no answer in time',
@@ -247,6 +259,9 @@
     def close(self) -> None:
         """Keep or close the connection, and report to the broker."""
         self.handover.stop()
+        if self.is_lost and not self.conn.is_acknowledged():
+            # The back end would run what is still on its way.
+            self.conn.reset_on_close()
         # Closing the connection makes the back end cancel the request.
         if self.response is not None and self.response.complete:
             self._dependencies.channels.release(
@@ -254,7 +269,8 @@
             )
         else:
             self._dependencies.channels.discard(self.conn)
-        self._report()
+        if not self.is_lost:
+            self._report()
 
     def _read_head(self, deadline: float) -> None:
         request_id = self._context.request.request_id
@@ -263,6 +279,9 @@
         self.metadata = metadata
         self._dependencies.notices.read(self.engine, metadata.notices)
         self._context.framing = response.framing
+        self._unacknowledged = 0
+        if self.is_lost:
+            self._dependencies.slots.report_path(self.engine.name, is_open=True)
 
     def _read_body_part(self, deadline: float) -> bytes:
         return self.conn.read_body_part(self.response, deadline)
@@ -279,39 +298,78 @@
             try:
                 return read(self._compute_read_deadline())
             except channel.SilentError:
-                if not self._may_go_on_elsewhere():
+                if clock.read_monotonic() >= self._context.deadline:
                     raise
-            if not self.handover.is_looking():
-                self._log_silence()
-            self._context.avoid(self.engine.name)
-            self.handover.await_input(self.conn, self._context.deadline)
+            self._check_acknowledged()
+            if self._is_silent():
+                self._await_input()
+
+    def _await_input(self) -> None:
+        now = clock.read_monotonic()
+        if not self.handover.is_looking():
+            _LOG.write(
+                'back end is silent, looks for another one.',
+                self._context.request.request_id,
+                engine=self.engine.name,
+                silent=round(now - self._progressed_at, 3),
+                acknowledged=self.conn.is_acknowledged(),
+                events=self._context.event_splitter.count,
+                left=round(self._context.deadline - now, 3),
+            )
+        self._context.avoid(self.engine.name)
+        self.handover.await_input(self.conn, self._context.deadline)
+
+    def _is_silent(self) -> bool:
+        # Whether another back end is to be looked for.
+        if self._may_go_on_elsewhere():
+            return clock.read_monotonic() >= self._compute_silence_end()
+        return False
 
     def _may_go_on_elsewhere(self) -> bool:
-        context = self._context
+        route = self._context.route
         return (
-            context.route.resumable
-            and clock.read_monotonic() < context.deadline
-            and self.handover.is_possible()
-        )
+            route.resumable or (route.idempotent and self.is_lost)
+        ) and self.handover.is_possible()
+
+    def _compute_silence_end(self) -> float:
+        if self.is_lost:
+            return self._counted_at
+        return self._progressed_at + RESUME_SECONDS
 
     def _compute_read_deadline(self) -> float:
-        deadline = self._context.deadline
-        if not self._may_go_on_elsewhere():
-            return deadline
+        ends = [self._context.deadline]
         soon = clock.read_monotonic() + MIN_READ_SECONDS
-        return min(deadline, max(soon, self._progressed_at + RESUME_SECONDS))
+        if self._unacknowledged and not self.is_lost:
+            ends.append(max(soon, self._counted_at + UNACKNOWLEDGED_SECONDS))
+        if self._may_go_on_elsewhere():
+            ends.append(max(soon, self._compute_silence_end()))
+        return min(ends)
 
-    def _log_silence(self) -> None:
+    def _count_unacknowledged(self) -> None:
+        self._unacknowledged = self.conn.count_unacknowledged()
+        self._counted_at = clock.read_monotonic()
+
+    def _check_acknowledged(self) -> None:
         now = clock.read_monotonic()
+        before = self._unacknowledged
+        if not before or now < self._counted_at + UNACKNOWLEDGED_SECONDS:
+            return
+        self._count_unacknowledged()
+        if self._unacknowledged >= before and not self.is_lost:
+            self._give_back_slot()
+
+    def _give_back_slot(self) -> None:
+        # The answer may still come, and only then would a second run be wrong
+        # for a request that must not run twice.
+        self.is_lost = True
+        self.outcome = slot.Outcome.unacknowledged
         _LOG.write(
-            'back end is silent, looks for another one.',
+            'nothing was acknowledged, gives the slot back.',
             self._context.request.request_id,
             engine=self.engine.name,
-            silent=round(now - self._progressed_at, 3),
-            acknowledged=self.conn.is_acknowledged(),
-            events=self._context.event_splitter.count,
-            left=round(self._context.deadline - now, 3),
+            unacknowledged=self._unacknowledged,
         )
+        self._report()
 
     def _check_crash(self) -> None:
         # Only crashes count as evidence against parts of a prompt.
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -11,6 +11,7 @@
 import math
 import select
 import socket
+import struct
 import sys
 import termios
 
@@ -48,6 +49,9 @@
 
 _MILLISECONDS = 1000
 
+#: ``SO_LINGER`` with a time of 0 s: closing a connection resets it.
+LINGER_RESET = struct.pack('ii', 1, 0)
+
 #: The size of a counter that the kernel returns, a C int.
 COUNTER_BYTES = 4
 
@@ -365,6 +369,17 @@
     )
 
 
+def reset_on_close(sock: gevent_socket.socket) -> None:
+    """Let the connection be reset when it is closed.
+
+    What the peer has not received is then dropped, not sent later.
+
+    Args:
+        sock: The connection.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+
+
 def wait_until_writable(sock: gevent_socket.socket, seconds: float) -> bool:
     """Wait until a connection accepts more bytes.
 
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -215,6 +215,21 @@
                 )
             )
 
+    def report_path(self, engine: str, is_open: bool) -> None:
+        """Report whether a back end can be reached from this node.
+
+        Args:
+            engine: The name of the back end.
+            is_open: Whether it accepted a connection, or answered.
+        """
+        self.report(
+            slot.Report(
+                slot.NOTICE_NUMBER,
+                slot.Outcome.unused,
+                path=slot.PathReport(engine, is_open),
+            )
+        )
+
     def list_notices(self) -> tuple[slot.EngineNotice, ...]:
         """List the notices of back ends that another broker should know.
 
--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -189,6 +189,8 @@
             left = not sock.recv(BLOCK_BYTES)
         except TimeoutError:
             left = False
+        except ConnectionResetError:
+            left = True
         finally:
             sock.settimeout(None)
         self.abandoned += left
--- a/pimentoway/platform/silent_process_test.py
+++ b/pimentoway/platform/silent_process_test.py
@@ -272,3 +272,74 @@
     bound = 2 * LONGEST_SILENCE_SECONDS
     assert timeout / 1000 >= bound
     assert idle + interval * probes >= bound
+
+
+class LostBytes:
+    """Lets a kernel seem to acknowledge nothing.
+
+    Attributes:
+        address: The address of the back end whose kernel that is.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, address: str) -> None:
+        """Replace the count of bytes that were not acknowledged.
+
+        Args:
+            monkeypatch: Undoes it after the test.
+            address: The address of the back end.
+        """
+        self.address = address
+        monkeypatch.setattr(connection, 'count_unacknowledged', self.count)
+
+    def count(self, sock: gevent_socket.socket) -> int:
+        """Count the bytes on a connection.
+
+        Args:
+            sock: The connection.
+
+        Returns:
+            The number; 0 on connections to other back ends.
+        """
+        host, port = sock.getpeername()
+        return int(f'{host}:{port}' == self.address)
+
+
+# A request whose bytes were lost on their way kept its slot until its deadline.
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x'])
+def test_unacknowledged_request_returns_its_slot(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It is given back within half a second; a late answer still arrives."""
+    engine = scripted_engine.ScriptedEngine('e1', make_stream(1.5))
+    harness = edge_process_test.NodeHarness(engine)
+    LostBytes(monkeypatch, engine.address)
+    call = gevent.spawn(harness.call, path)
+    gevent.sleep(0.1)
+    engines = harness.node.broker.engines
+    runs = engines.state_by_name['e1'].run_by_key
+    assert runs
+    gevent.sleep(0.4)
+    assert not runs
+    status, _, body = call.get()
+    assert status == 200
+    assert EVENTS[-1] in body
+    assert len(engine.requests) == 1
+
+
+@pytest.mark.parametrize('path', ['/safe/x', RESUMABLE])
+def test_unacknowledged_request_goes_on_elsewhere(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One that may be repeated does not wait for its deadline."""
+    lost = scripted_engine.ScriptedEngine('e1', make_stream(60))
+    harness = edge_process_test.NodeHarness(lost)
+    LostBytes(monkeypatch, lost.address)
+    started = time.monotonic()
+    call = gevent.spawn(harness.call, path)
+    gevent.sleep(0.1)
+    harness.add(scripted_engine.ScriptedEngine('e2', make_stream()))
+    status, _, body = call.get()
+    assert status == 200
+    assert EVENTS[-1] in body
+    assert time.monotonic() - started < 1
+    assert lost.abandoned == 1
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -6,6 +6,22 @@
 _REAL = 'real'
 
 GUARDS = (
+    guard_text.Guard(
+        'a request that was lost on its way returns its slot',
+        'callers/exchange.py',
+        '            self._give_back_slot()\n',
+        '            self.is_lost = True\n',
+        _SILENCE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'what is on its way is dropped with the connection',
+        'callers/exchange.py',
+        '            self.conn.reset_on_close()\n',
+        '            self.conn.is_acknowledged()\n',
+        _SILENCE,
+        _REAL,
+    ),
     guard_text.Guard(
         'connections outlast the silence of a sound back end',
         'backends/channel.py',
@@ -17,9 +33,9 @@
     guard_text.Guard(
         'a silent back end is left only for another one',
         'callers/exchange.py',
-        '            self.handover.await_input('
+        '        self.handover.await_input('
         'self.conn, self._context.deadline)\n',
-        "            raise error.ConnectionLostError('silent', 'read')\n",
+        "        raise error.ConnectionLostError('silent', 'read')\n",
         _SILENCE,
         _REAL,
     ),
