Log why the broker pauses a back end

The logs of a node without paths didn't show whose reports paused a back end for all nodes, nor for how long. A line is written whenever a pause begins or grows, with the node, the outcome and the faults counted. No logic changes.

--- a/pimentoway/ops/enginestate.py
+++ b/pimentoway/ops/enginestate.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from pimentoway.core import clock, deployment
+from pimentoway.core import clock, deployment, log
 from pimentoway.ops import slot, window
 
 #: Consecutive faults after which a back end is paused.
@@ -33,6 +33,8 @@
 #: delay differs between requests.
 COLD_WINDOW_SECONDS = 1.1
 
+_LOG = log.Log('broker')
+
 
 @dataclasses.dataclass(frozen=True)
 class Run:
@@ -228,7 +230,10 @@
         """
         run = self.run_by_key.pop(key, None)
         self._record_load(report)
+        paused_until = self.paused_until
         self._record_outcome(report.outcome)
+        if self.paused_until > paused_until:
+            self._log_pause(key, report.outcome)
         return run
 
     def note_relative_duration(self, ratio: float) -> None:
@@ -304,3 +309,16 @@
             )
             pause = min(MAX_PAUSE_SECONDS, doubled)
             self.paused_until = max(self.paused_until, now + pause)
+
+    def _log_pause(self, key: RunKey, outcome: slot.Outcome) -> None:
+        seconds = self.paused_until - clock.read_monotonic()
+        _LOG.write(
+            'pauses a back end.',
+            engine=self.engine.name,
+            owner=key[0],
+            number=key[1],
+            outcome=outcome.name,
+            seconds=round(seconds, 3),
+            faults=self._fault_count,
+            running=len(self.run_by_key),
+        )
