--- a/pimentoway/core/metric.py
+++ b/pimentoway/core/metric.py
@@ -78,3 +78,15 @@
     'length of the answer relative to its route.',
     ['tier', 'length', 'decision'],
 )
+
+LOST_PATHS = prometheus_client.Gauge(
+    'pimentoway_lost_paths',
+    'Paths to back ends on which a node of this broker had faults.',
+    ['node'],
+)
+
+RELAYED_REQUESTS = prometheus_client.Counter(
+    'pimentoway_relayed_requests',
+    'Slots that this broker granted through a node that relays the request.',
+    ['relay'],
+)
