Judge and grant by node and back end

Callers at a node that had lost its paths to the back ends were served nothing, and while its connections hung, the others less than before: a back end had one health, pause and count of faults for all nodes.

The broker now judges each fault by what its other nodes see. A fault of one node closes its path and lets others probe the back end; a second node confirms it; the faults of a lost node count neither against back ends nor against prompts. Requests whose node has no path go through another node, chosen by failure domain and load, which the grant names; runs keep it, also at the next broker. Crashes that only one node reports are held back for half a second, and dropped if the back end answers others meanwhile.

--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -290,7 +290,7 @@
             *context.slot_request_numbers,
             slot_request.number,
         )
-        name = self._slots.acquire_slot(slot_request)
+        name = self._slots.acquire_slot(slot_request).engine
         context.queue_seconds += clock.read_monotonic() - now
         engine = self._view.engines_by_name.get(name)
         if engine is None or not self._slots.may_use(engine):
--- a/pimentoway/ops/admit.py
+++ b/pimentoway/ops/admit.py
@@ -10,7 +10,15 @@
 import msgspec
 
 from pimentoway.core import clock, deployment, log, nodesetting
-from pimentoway.ops import crash, partledger, quota, slot, view, window
+from pimentoway.ops import (
+    crash,
+    heldcrash,
+    partledger,
+    quota,
+    slot,
+    view,
+    window,
+)
 
 #: The fraction of the retry budget that this broker grants; the rest covers
 #: repeats that other brokers grant while nodes change their broker.
@@ -181,17 +189,18 @@
                 route=request.route,
             )
 
-    def note_crash(
-        self, request: slot.SlotRequest, crash_id: str, started: float
-    ) -> None:
+    def note_crash(self, crash: heldcrash.Crash) -> None:
         """Record that a back end crashed while it ran a request.
 
         Args:
-            request: The slot request.
-            crash_id: Identifies the crash.
-            started: The monotonic time at which the slot was granted.
+            crash: The crash.
         """
-        self.parts.record_crash(crash_id, _list_parts(request), started)
+        self.parts.record_crash(
+            f'{crash.engine.name}/{crash.engine.born}',
+            _list_parts(crash.run.request),
+            crash.run.started,
+            crash.reported_at,
+        )
 
     def has_blocked_part(self, request: slot.SlotRequest) -> bool:
         """Tell whether a part of a request's prompt is blocked.
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -8,7 +8,14 @@
 
 import collections
 
-from pimentoway.core import clock, log, metric, nodesetting, registry
+from pimentoway.core import (
+    clock,
+    deployment,
+    log,
+    metric,
+    nodesetting,
+    registry,
+)
 from pimentoway.ops import (
     admit,
     enginestate,
@@ -132,6 +139,8 @@
         """
         if report.notice:
             self.notices.note(requester, report.notice)
+        if report.path:
+            self.engines.note_path(requester, report.path)
         key = (requester, report.number)
         for service, queue in self._queue_by_service.items():
             queued = queue.remove(key)
@@ -183,7 +192,8 @@
 
     def tick(self) -> None:
         """Expire stale state and try to grant slots in every queue."""
-        self.engines.drop_disconnected()
+        self.engines.expire()
+        self._count_crashes()
         self._recount_running()
         for service, queue in self._queue_by_service.items():
             queue.decay()
@@ -259,15 +269,16 @@
         skipped: list[routequeue.QueuedRequest],
     ) -> bool:
         # Returns whether the next request in the queue should be tried.
-        allowed = self.engines.list_allowed(
-            capacity, queued.key[0], queued.request.avoided
-        )
-        state = self._choose_engine(queued.request, allowed)
+        avoided = queued.request.avoided
+        reach = self.engines.make_reach(queued.key[0], avoided)
+        allowed = self.engines.list_allowed(capacity, reach)
+        extra_cost = reach.compute_cost if reach.is_limited else None
+        state = self._choose_engine(queued.request, allowed, extra_cost)
         if state:
-            self._grant(queued, state)
+            self._grant(queued, state, reach.choose_relay(state))
             capacity.note_grant(state, self.engines.share)
             return True
-        if queued.request.avoided or len(allowed) < len(capacity.free_engines):
+        if avoided or len(allowed) < len(capacity.free_engines):
             # The back ends that this request must avoid may suit the next one.
             self._queue_by_service[queued.request.service].remove(queued.key)
             skipped.append(queued)
@@ -275,17 +286,21 @@
         return False
 
     def _grant(
-        self, queued: routequeue.QueuedRequest, state: enginestate.EngineState
+        self,
+        queued: routequeue.QueuedRequest,
+        state: enginestate.EngineState,
+        via: str,
     ) -> None:
         queue = self._queue_by_service[queued.request.service]
         queue.remove(queued.key)
         queue.count_grant(queued.request)
-        state.start(queued.key, queued.request)
+        state.start(queued.key, queued.request, via)
+        self.engines.relays.count_start(via)
         self.rollouts.note_start(state.engine)
         self._admission.note_start(queued.request)
         self._count_decision(queued.request, 'granted')
-        self._log_grant(queued, state)
-        grant = slot.Grant(queued.request.number, state.engine.name)
+        self._log_grant(queued, state, via)
+        grant = slot.Grant(queued.request.number, state.engine.name, via)
         self._reply(queued.key[0], grant)
 
     def _make_estimate(
@@ -313,8 +328,9 @@
         self,
         request: slot.SlotRequest,
         free: list[enginestate.EngineState],
+        extra_cost: collections.abc.Callable | None,
     ) -> enginestate.EngineState | None:
-        rate = self._find_cold_rate(request.service)
+        rate = _find_cold_rate(self._view.deployment, request.service)
         allowed = [
             state
             for state in free
@@ -326,32 +342,32 @@
         queue = self._queue_by_service[request.service]
         run = queue.stats_by_route[request.route].estimate_run(request)
         preferred = self.rollouts.prefer(request.service, allowed)
+        if extra_cost is None:
+            return min(
+                preferred,
+                key=lambda state: _compute_cost(request, state, run),
+            )
         return min(
             preferred,
-            key=lambda state: _compute_cost(request, state, run),
+            key=lambda state: (
+                extra_cost(state) + _compute_cost(request, state, run)
+            ),
         )
 
-    def _find_cold_rate(self, service: str) -> float:
-        # Requests a second for a cold back end; 0 for no limit.
-        deployment = self._view.deployment
-        found = deployment and deployment.services_by_name.get(service)
-        return found.cold_rate if found else 0
-
     def _end_run(
         self,
         state: enginestate.EngineState,
         key: enginestate.RunKey,
         report: slot.Report,
     ) -> None:
-        run = state.end(key, report)
+        run = self.engines.end_run(state, key, report)
         request = run.request
         queue = self._queue_by_service[request.service]
         queue.count_end(request)
         if report.outcome in slot.UNSENT_OUTCOMES:
             self._admission.refund(request)
         elif report.outcome in slot.BROKEN_OUTCOMES:
-            self._admission.note_break(request, state.engine.name)
-            self._note_crash(state, run, report)
+            self._note_break(state, run, run.name_node(key), report)
         elif report.outcome is slot.Outcome.answered:
             self._admission.note_answer(request)
             stats = queue.stats_by_route[request.route]
@@ -363,12 +379,17 @@
         self.rollouts.note_end(state, request, report)
         self.grant_waiting(request.service)
 
-    def _note_crash(
+    def _note_break(
         self,
         state: enginestate.EngineState,
         run: enginestate.Run,
+        node: str,
         report: slot.Report,
     ) -> None:
+        if self.engines.paths.is_lost(node):
+            # Its connections break whatever it sends.
+            return
+        self._admission.note_break(run.request, state.engine.name)
         engine = state.engine
         # A back end that leaves may end before its last runs do.
         leaving = (
@@ -383,9 +404,13 @@
         )
         if answering > partledger.SUSPECT_SECONDS:
             return
-        crash_id = f'{engine.name}/{engine.born}'
-        self._admission.note_crash(run.request, crash_id, run.started)
-        self._refuse_blocked(run.request.service)
+        self.engines.crashes.add(node, engine, run)
+        self._count_crashes()
+
+    def _count_crashes(self) -> None:
+        for crash in self.engines.crashes.take_settled():
+            self._admission.note_crash(crash)
+            self._refuse_blocked(crash.run.request.service)
 
     def _refuse_blocked(self, service: str) -> None:
         queue = self._queue_by_service[service]
@@ -458,7 +483,10 @@
             self.grant_waiting(service)
 
     def _log_grant(
-        self, queued: routequeue.QueuedRequest, state: enginestate.EngineState
+        self,
+        queued: routequeue.QueuedRequest,
+        state: enginestate.EngineState,
+        via: str,
     ) -> None:
         waited = clock.read_monotonic() - queued.arrived
         _LOG.write(
@@ -466,6 +494,7 @@
             owner=queued.key[0],
             number=queued.request.number,
             engine=state.engine.name,
+            via=via,
             waited=round(waited, 4),
             running=len(state.run_by_key),
             waiting=self.count_waiting(),
@@ -485,6 +514,14 @@
         return queue.describe_order(request)
 
 
+def _find_cold_rate(
+    configured: deployment.Deployment | None, service: str
+) -> float:
+    # Requests a second for a cold back end; 0 for no limit.
+    found = configured and configured.services_by_name.get(service)
+    return found.cold_rate if found else 0
+
+
 def _compute_cost(
     request: slot.SlotRequest, state: enginestate.EngineState, run: float
 ) -> float:
--- a/pimentoway/ops/enginestate.py
+++ b/pimentoway/ops/enginestate.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from pimentoway.core import clock, deployment, log
-from pimentoway.ops import slot, window
+from pimentoway.ops import pathtable, slot, window
 
 #: Consecutive faults after which a back end is paused.
 FAULTS_UNTIL_PAUSE = 2
@@ -33,9 +33,22 @@
 #: delay differs between requests.
 COLD_WINDOW_SECONDS = 1.1
 
+#: Seconds after which a run of a back end in doubt, or on a path that opens
+#: again, shows by not having failed that more requests may follow: longer than
+#: the node waits for a connection or for an answer to go on.
+TRUST_SECONDS = 2.0
+
+#: The judgements of faults that count against the back end.
+COUNTED_JUDGEMENTS = frozenset(
+    (pathtable.Judgement.engine, pathtable.Judgement.confirmed)
+)
+
 _LOG = log.Log('broker')
 
 
+RunKey = tuple[str, int]
+
+
 @dataclasses.dataclass(frozen=True)
 class Run:
     """A request that a back end runs.
@@ -43,13 +56,24 @@
     Attributes:
         request: The slot request that was granted.
         started: The monotonic time of the grant.
+        via: The name of the node that relays it; '' if none does.
     """
 
     request: slot.SlotRequest
     started: float
+    via: str = ''
 
+    def name_node(self, key: RunKey) -> str:
+        """Name the node that connects to the back end.
 
-RunKey = tuple[str, int]
+        Args:
+            key: The node that asked for the slot and the number of the
+                request.
+
+        Returns:
+            The node that relays the run, or else the one that asked.
+        """
+        return self.via or pathtable.name_node(key[0])
 
 
 class EngineState:
@@ -63,6 +87,8 @@
             relative to the usual duration in the service; 1 is usual.
         failure_rate: The moving average of the fraction of failed answers.
         paused_until: The monotonic time at which a pause ends.
+        doubted_since: When a node reported a fault that others have to
+            confirm, on the monotonic clock; 0 if none did.
     """
 
     def __init__(self, engine: deployment.Engine) -> None:
@@ -78,6 +104,7 @@
         self.relative_duration = 1.0
         self.failure_rate: float = 0
         self.paused_until: float = 0
+        self.doubted_since: float = 0
         self._fault_count = 0
         self._foreign_requests = 0
         self._load_time = float('-inf')
@@ -106,11 +133,32 @@
             self._cold_until = max(self._cold_until, until)
         if restarted or moved:
             self.run_by_key.clear()
-            self.paused_until = 0
-            self._fault_count = 0
+            self.clear_faults()
             self.failure_rate = 0
         return restarted or moved
 
+    def clear_faults(self) -> None:
+        """Drop the faults and the pause, as they don't count any more."""
+        self.paused_until = 0
+        self.doubted_since = 0
+        self._fault_count = 0
+
+    def has_new_run(self, requester: str) -> bool:
+        """Tell whether a node's requests must wait for the one that it sent.
+
+        Args:
+            requester: The node, which may send one request at a time.
+
+        Returns:
+            Whether a run that it started itself less than ``TRUST_SECONDS``
+            ago has not ended.
+        """
+        trusted = clock.read_monotonic() - TRUST_SECONDS
+        return any(
+            key[0] == requester and not run.via and run.started > trusted
+            for key, run in self.run_by_key.items()
+        )
+
     def count_slots(self, share: float) -> int:
         """Count the slots that this broker may use.
 
@@ -149,7 +197,10 @@
             return slots, 0
         # After a pause, one request at a time probes the back end.
         allowed = 1 if self._fault_count >= FAULTS_UNTIL_PAUSE else slots
-        return slots, max(0, allowed - len(self.run_by_key))
+        unused = max(0, allowed - len(self.run_by_key))
+        if self.doubted_since:
+            unused = min(unused, self._count_probes(now))
+        return slots, unused
 
     def measure_utilization(self) -> float:
         """Measure the utilization of the back end by this broker's grants.
@@ -191,14 +242,17 @@
         """
         return clock.read_monotonic() - self._first_seen
 
-    def start(self, key: RunKey, request: slot.SlotRequest) -> None:
+    def start(
+        self, key: RunKey, request: slot.SlotRequest, via: str = ''
+    ) -> None:
         """Record that a slot was granted.
 
         Args:
             key: The node and the number of the slot request.
             request: The slot request.
+            via: The name of the node that relays it; '' if none does.
         """
-        self.run_by_key[key] = Run(request, clock.read_monotonic())
+        self.run_by_key[key] = Run(request, clock.read_monotonic(), via)
         self._recent_starts.add()
 
     def keep_runs(
@@ -218,12 +272,18 @@
         for key in dropped:
             self.run_by_key.pop(key)
 
-    def end(self, key: RunKey, report: slot.Report) -> Run | None:
+    def end(
+        self,
+        key: RunKey,
+        report: slot.Report,
+        judgement: pathtable.Judgement = pathtable.Judgement.engine,
+    ) -> Run | None:
         """Remove a run, and learn load and health from its report.
 
         Args:
             key: The node and the number of the slot request.
             report: The outcome, and the load that the back end reported.
+            judgement: What the outcome says of the back end if it is a fault.
 
         Returns:
             The run; nothing if it was not known.
@@ -231,7 +291,7 @@
         run = self.run_by_key.pop(key, None)
         self._record_load(report)
         paused_until = self.paused_until
-        self._record_outcome(report.outcome)
+        self._record_outcome(report.outcome, judgement)
         if self.paused_until > paused_until:
             self._log_pause(key, report.outcome)
         return run
@@ -282,18 +342,50 @@
         self._foreign_requests = max(0, report.running + report.waiting - own)
         self._load_time = now
 
-    def _record_outcome(self, outcome: slot.Outcome) -> None:
+    def _count_probes(self, now: float) -> int:
+        # How many requests more may show whether the back end works.
+        started = [
+            run.started
+            for run in self.run_by_key.values()
+            if run.started >= self.doubted_since
+        ]
+        if not started:
+            return 1
+        if now - min(started) < TRUST_SECONDS:
+            return 0
+        self.doubted_since = 0
+        return self.engine.slots or DEFAULT_SLOTS
+
+    def _record_outcome(
+        self, outcome: slot.Outcome, judgement: pathtable.Judgement
+    ) -> None:
         now = clock.read_monotonic()
         if outcome is slot.Outcome.shed:
             self.paused_until = max(self.paused_until, now + FULL_PAUSE_SECONDS)
         elif outcome is slot.Outcome.answered:
             self._fault_count = 0
+            self.doubted_since = 0
             self.failure_rate -= SMOOTHING * self.failure_rate
         elif outcome is slot.Outcome.failed:
             # An error response still shows that the back end is up.
             self._fault_count = 0
+            self.doubted_since = 0
             self.failure_rate += SMOOTHING * (1 - self.failure_rate)
         elif outcome in slot.FAULT_OUTCOMES:
+            self._record_judged_fault(outcome, judgement, now)
+
+    def _record_judged_fault(
+        self,
+        outcome: slot.Outcome,
+        judgement: pathtable.Judgement,
+        now: float,
+    ) -> None:
+        if judgement is pathtable.Judgement.doubted:
+            self.doubted_since = self.doubted_since or now
+        if judgement is pathtable.Judgement.confirmed:
+            self.doubted_since = 0
+            self._fault_count = max(self._fault_count, FAULTS_UNTIL_PAUSE - 1)
+        if judgement in COUNTED_JUDGEMENTS:
             self._record_fault(outcome, now)
 
     def _record_fault(self, outcome: slot.Outcome, now: float) -> None:
--- a/pimentoway/ops/enginetable.py
+++ b/pimentoway/ops/enginetable.py
@@ -5,12 +5,31 @@
 import math
 
 from pimentoway.core import clock
-from pimentoway.ops import enginestate, notice, slot, view
+from pimentoway.ops import (
+    enginestate,
+    heldcrash,
+    notice,
+    pathtable,
+    relaytable,
+    slot,
+    view,
+)
 
 #: Seconds for which the runs of a disconnected node still count: a back end
 #: stops a run soon after the connection of its request is gone.
 DISCONNECTED_SECONDS = 1.5
 
+#: Seconds of silence that a run has at least when it is reported as silent.
+SILENCE_SECONDS = 1.0
+
+#: The outcomes that show that a back end works and that it can be reached.
+SUCCESS_OUTCOMES = frozenset(
+    (slot.Outcome.answered, slot.Outcome.failed, slot.Outcome.shed)
+)
+
+#: The faults that may have another cause than the back end.
+JUDGED_OUTCOMES = pathtable.CONNECTION_FAULTS | {slot.Outcome.silent}
+
 
 @dataclasses.dataclass
 class Capacity:
@@ -45,6 +64,9 @@
         share: The fraction of the nodes that use this broker.
         state_by_name: The states by the name of the back end.
         notices: What the back ends announced of themselves.
+        paths: Which nodes reach which back ends.
+        relays: The nodes that relay requests.
+        crashes: The crashes that one node reported and others may refute.
     """
 
     def __init__(self, registry_view: view.View) -> None:
@@ -56,6 +78,11 @@
         self.share: float = 1
         self.state_by_name: dict[str, enginestate.EngineState] = {}
         self.notices = notice.NoticeTable(registry_view)
+        self.paths = pathtable.PathTable(self._clear_faults)
+        self.relays = relaytable.RelayTable(
+            registry_view, self.paths, self.notices
+        )
+        self.crashes = heldcrash.HeldCrashes(registry_view, self.paths)
         self._view = registry_view
         self._expiry_by_disconnected: dict[str, float] = {}
         # The back ends that may get requests of any node.
@@ -68,12 +95,13 @@
         engines = self._view.engines_by_name
         for name in set(self.state_by_name).difference(engines):
             self.state_by_name.pop(name)
+            self.paths.forget_engine(name)
         for name, engine in engines.items():
             state = self.state_by_name.get(name)
             if state is None:
                 self.state_by_name[name] = enginestate.EngineState(engine)
-            else:
-                state.update(engine)
+            elif state.update(engine):
+                self.paths.forget_engine(name)
         self._usable_by_service = {}
         for state in self.state_by_name.values():
             if self.notices.is_usable(state.engine):
@@ -108,7 +136,7 @@
         capacity: Capacity,
         requesters: collections.abc.Iterable[str],
     ) -> None:
-        """Drop the back ends that want no requests from any waiting node.
+        """Drop the back ends that no waiting node may use.
 
         Otherwise each decision would try all waiting requests with them.
 
@@ -116,68 +144,135 @@
             capacity: The slots, whose free back ends are reduced.
             requesters: The nodes whose requests wait.
         """
-        if not capacity.free_engines or not self.notices.has_pauses():
+        if not capacity.free_engines or not self._has_limits():
             return
-        waiting = set(requesters)
+        reaches = [self.make_reach(requester) for requester in set(requesters)]
         capacity.free_engines = [
             state
             for state in capacity.free_engines
-            if not all(
-                self.notices.measure_pause(requester, state.engine)
-                for requester in waiting
-            )
+            if not all(reach.measure_wait(state) for reach in reaches)
         ]
 
     def measure_opening(self, service: str, requester: str) -> float:
-        """Measure until when no back end wants requests from a node.
+        """Measure until when a node may use no back end.
 
         Args:
             service: The name of the service.
             requester: The node.
 
         Returns:
-            Seconds until the first usable back end does; 0 if one does now,
-            or if none is usable.
+            Seconds until it may use the first one, as that wants no requests
+            from the node or the node does not reach it; 0 if it may use one
+            now, or if none is usable.
         """
-        if not self.notices.has_pauses():
+        if not self._has_limits():
             return 0
+        reach = self.make_reach(requester)
         opening = math.inf
         for state in self._usable_by_service.get(service, ()):
-            pause = self.notices.measure_pause(requester, state.engine)
-            if not pause:
+            wait = reach.measure_wait(state)
+            if not wait:
                 return 0
-            opening = min(opening, pause)
+            opening = min(opening, wait)
         return 0 if math.isinf(opening) else opening
 
     def list_allowed(
         self,
         capacity: Capacity,
-        requester: str,
-        avoided: collections.abc.Container[str],
+        reach: relaytable.Reach,
     ) -> list[enginestate.EngineState]:
         """List the free back ends that may get a request.
 
         Args:
             capacity: The slots of its service.
-            requester: The node of the request.
-            avoided: The names of the back ends that must not get it.
+            reach: The back ends that it reaches.
 
         Returns:
-            The others, without those that want no requests from the node.
+            The others, without those that want no requests from the node or
+            that it does not reach.
         """
-        allowed = [
-            state
-            for state in capacity.free_engines
-            if state.engine.name not in avoided
-        ]
+        if reach.is_limited:
+            allowed = list(filter(reach.allows, capacity.free_engines))
+        else:
+            allowed = [
+                state
+                for state in capacity.free_engines
+                if state.engine.name not in reach.avoided
+            ]
         if not self.notices.has_pauses():
             return allowed
         return [
             state
             for state in allowed
-            if not self.notices.measure_pause(requester, state.engine)
+            if not self.notices.measure_pause(reach.requester, state.engine)
         ]
 
+    def make_reach(
+        self,
+        requester: str,
+        avoided: collections.abc.Container[str] = (),
+    ) -> relaytable.Reach:
+        """Find which back ends a request reaches.
+
+        Args:
+            requester: The node.
+            avoided: The names of the back ends that must not get the request.
+
+        Returns:
+            The back ends that the node reaches, itself or through a relay.
+        """
+        return relaytable.Reach(self.relays, requester, avoided)
+
+    def end_run(
+        self,
+        state: enginestate.EngineState,
+        key: enginestate.RunKey,
+        report: slot.Report,
+    ) -> enginestate.Run:
+        """Remove a run, and learn from its report.
+
+        Args:
+            state: The back end that runs it.
+            key: The node and the number of the slot request.
+            report: The outcome.
+
+        Returns:
+            The run.
+        """
+        run = state.run_by_key[key]
+        if run.via:
+            self.relays.count_end(run.via)
+        if report.outcome is slot.Outcome.relay_lost:
+            self.relays.note_lost(key[0], run.via)
+            return state.end(key, report)
+        node = run.name_node(key)
+        if report.outcome in SUCCESS_OUTCOMES:
+            self.paths.note_success(node, state.engine.name, run.started)
+            if run.via:
+                self.relays.note_success(key[0], run.via)
+        judgement = pathtable.Judgement.engine
+        if report.outcome in JUDGED_OUTCOMES:
+            judgement = self.paths.note_fault(
+                pathtable.Fault(
+                    node,
+                    state.engine.name,
+                    report.outcome,
+                    _find_progress(run, report),
+                )
+            )
+        return state.end(key, report, judgement)
+
+    def note_path(self, requester: str, report: slot.PathReport) -> None:
+        """Record what a node found when it checked a path.
+
+        Args:
+            requester: The node.
+            report: What it found.
+        """
+        self.paths.note_check(
+            pathtable.name_node(requester), report.engine, report.is_open
+        )
+
     def count_running(
         self, service: str
     ) -> collections.Counter[tuple[str, int]]:
@@ -251,7 +346,10 @@
             key = (requester, run.request.number)
             if state and key not in state.run_by_key:
                 started = clock.read_monotonic()
-                state.run_by_key[key] = enginestate.Run(run.request, started)
+                state.run_by_key[key] = enginestate.Run(
+                    run.request, started, run.via
+                )
+        self.paths.attach(requester)
         return self._expiry_by_disconnected.pop(requester, None) is not None
 
     def note_disconnected(self, requester: str) -> None:
@@ -262,9 +360,15 @@
         """
         expiry = clock.read_monotonic() + DISCONNECTED_SECONDS
         self._expiry_by_disconnected[requester] = expiry
+        self.paths.detach(requester)
+
+    def expire(self) -> None:
+        """Drop the runs of nodes disconnected for ``DISCONNECTED_SECONDS``.
 
-    def drop_disconnected(self) -> None:
-        """Drop the runs of nodes disconnected for ``DISCONNECTED_SECONDS``."""
+        What is outdated of paths and relays is dropped, too.
+        """
+        self.paths.expire()
+        self.relays.recount(self.state_by_name.values())
         now = clock.read_monotonic()
         expired = [
             requester
@@ -275,3 +379,18 @@
             self._expiry_by_disconnected.pop(requester)
             for state in self.state_by_name.values():
                 state.keep_runs(requester, frozenset())
+
+    def _has_limits(self) -> bool:
+        return self.paths.has_faults() or self.notices.has_pauses()
+
+    def _clear_faults(self, name: str) -> None:
+        state = self.state_by_name.get(name)
+        if state:
+            state.clear_faults()
+
+
+def _find_progress(run: enginestate.Run, report: slot.Report) -> float:
+    # When a run that has ended was last seen to progress, at the latest.
+    if report.first_seconds:
+        return clock.read_monotonic() - SILENCE_SECONDS
+    return run.started
--- a/pimentoway/ops/partledger.py
+++ b/pimentoway/ops/partledger.py
@@ -104,6 +104,7 @@
         crash: str,
         parts: collections.abc.Collection[Part],
         started: float,
+        ended: float | None = None,
     ) -> None:
         """Record that a back end crashed while it ran a request.
 
@@ -111,9 +112,12 @@
             crash: Identifies the crash: the back end and its incarnation.
             parts: The parts of the request's prompt that others share.
             started: The monotonic time at which it got its slot.
+            ended: The monotonic time of the crash; now if it isn't given.
         """
+        if ended is None:
+            ended = clock.read_monotonic()
         for part in parts:
-            self._add_crash(crash, part, started)
+            self._add_crash(crash, part, started, ended)
         for suspected in parts:
             if self._is_to_blame(suspected):
                 self._block(suspected)
@@ -193,7 +197,9 @@
                 seconds, until, 0, frozenset(), stored=True
             )
 
-    def _add_crash(self, crash: str, part: Part, started: float) -> None:
+    def _add_crash(
+        self, crash: str, part: Part, started: float, ended: float
+    ) -> None:
         now = clock.read_monotonic()
         suspicion = self._suspicion_by_part.get(part)
         if suspicion is None or now - suspicion.latest > MEMORY_SECONDS:
@@ -204,7 +210,7 @@
         suspicion.crashes.add(crash)
         if started >= suspicion.latest:
             suspicion.counted.append(crash)
-            suspicion.latest = now
+            suspicion.latest = ended
         self._suspicion_by_part.move_to_end(part)
         if len(self._suspicion_by_part) > MAX_SUSPECTS:
             self._suspicion_by_part.popitem(last=False)
--- a/pimentoway/ops/pathtable.py
+++ b/pimentoway/ops/pathtable.py
@@ -203,7 +203,6 @@
         judgement = self._judge(fault)
         if judgement is Judgement.confirmed:
             self._excuse_paths(fault.engine)
-        self._check_lost(fault.node)
         self._log_judgement(fault, judgement)
         return judgement
 
@@ -282,6 +281,7 @@
             )
             repeated = paths.lose(fault.engine, fault.outcome, other_success)
             paths.publish()
+            self._check_lost(fault.node)
         if repeated or self.is_lost(fault.node):
             return Judgement.path
         return self._weigh(fault)
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -111,6 +111,7 @@
             local: The broker.
         """
         self._local = local
+        local.adopt(self.requester, self.list_running(), [])
 
     def switch_broker(self, remote: Send | None) -> None:
         """Change the broker and send it the slot requests without a reply.
@@ -154,15 +155,15 @@
         """
         return next(self._numbers)
 
-    def acquire_slot(self, request: slot.SlotRequest) -> str:
+    def acquire_slot(self, request: slot.SlotRequest) -> slot.Grant:
         """Request a slot and wait for the reply.
 
         Args:
             request: The slot request, numbered by ``make_number``.
 
         Returns:
-            The name of the back end. A refusal, and a reply that doesn't come
-            before the deadline, are raised as errors of a request not run.
+            The grant. A refusal, and a reply that doesn't come before the
+            deadline, are raised as errors of a request not run.
         """
         number = request.number
         pending = _Pending(
@@ -181,8 +182,8 @@
             self._pending_by_number.pop(number, None)
             if not granted:
                 self._withdraw(pending)
-        self._note_grant(request, reply.engine)
-        return reply.engine
+        self._note_grant(request, reply)
+        return reply
 
     def report(self, report: slot.Report) -> None:
         """Report the outcome of a grant to the broker.
@@ -325,9 +326,9 @@
         outcome = slot.Outcome.unused if answer else slot.Outcome.abandoned
         self.report(slot.Report(pending.request.number, outcome))
 
-    def _note_grant(self, request: slot.SlotRequest, engine: str) -> None:
+    def _note_grant(self, request: slot.SlotRequest, grant: slot.Grant) -> None:
         self._running_by_number[request.number] = slot.ActiveGrant(
-            request, engine
+            request, grant.engine, grant.via
         )
         self._add_usage(request, request.cost)
 
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -160,7 +160,7 @@
     guard_text.Guard(
         'waiting requests with a blocked part are refused',
         'ops/broker.py',
-        '        self._refuse_blocked(run.request.service)\n',
+        '            self._refuse_blocked(crash.run.request.service)\n',
         '',
         _BROKER,
     ),
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -17,6 +17,7 @@
     guard_text,
     input_guard,
     notice_guard,
+    path_guard,
     recovery_guard,
 )
 
@@ -49,6 +50,7 @@
     *edge_guard.GUARDS,
     *input_guard.GUARDS,
     *notice_guard.GUARDS,
+    *path_guard.GUARDS,
     *recovery_guard.GUARDS,
     guard_text.Guard(
         'claim before dispatch',
--- a/pimentoway/tools/notice_guard.py
+++ b/pimentoway/tools/notice_guard.py
@@ -70,7 +70,7 @@
         'ops/enginetable.py',
         (
             '            if not self.notices.measure_pause('
-            'requester, state.engine)\n'
+            'reach.requester, state.engine)\n'
         ),
         '',
         _NOTICE_TABLE,
@@ -78,11 +78,8 @@
     guard_text.Guard(
         'a request that waits for the end of a pause blocks no other',
         _BROKER_MODULE,
-        (
-            'if queued.request.avoided or '
-            'len(allowed) < len(capacity.free_engines):'
-        ),
-        'if queued.request.avoided:',
+        'if avoided or len(allowed) < len(capacity.free_engines):',
+        'if avoided:',
         _NOTICE_TABLE,
     ),
     guard_text.Guard(
