--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -17,6 +17,7 @@
     guard_text,
     input_guard,
     notice_guard,
+    path_guard,
     recovery_guard,
     silence_guard,
 )
@@ -50,6 +51,7 @@
     *edge_guard.GUARDS,
     *input_guard.GUARDS,
     *notice_guard.GUARDS,
+    *path_guard.GUARDS,
     *recovery_guard.GUARDS,
     *silence_guard.GUARDS,
     guard_text.Guard(
