Let the end of a node end a request that is being offered

A node that stops throws its error into the greenlets of its requests. While a request was being offered to another back end, that error was taken for a failure of the back end: the request went on, and ended without an answer with the process.

Now only broken connections are such failures. The test failed before: no answer came within 0.4 s.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -21,6 +21,10 @@
 #: read only to reuse the connection.
 NOT_RUN_BODY_SECONDS = 0.05
 
+#: What a broken connection means to a request that is not sent again. The
+#: errors that end a request from outside are none of them.
+_CUT_ERRORS = (error.FailedError, error.OutcomeUnknownError)
+
 _LOG = log.Log('attempt')
 
 _CONTENT_TYPE = b'content-type'
@@ -62,7 +66,7 @@
         """Send the request while another back end may still answer it."""
         try:
             self._exchange.send()
-        except error.PimentowayError as fault:
+        except _CUT_ERRORS as fault:
             raise self._exchange.make_retry() from fault
 
     def is_accepted(self) -> bool:
@@ -76,7 +80,7 @@
         try:
             if not self._exchange.poll_head():
                 return False
-        except error.PimentowayError as fault:
+        except _CUT_ERRORS as fault:
             raise self._exchange.make_retry() from fault
         if self._exchange.metadata.not_run:
             self._handle_not_run()
--- a/pimentoway/platform/silent_process_test.py
+++ b/pimentoway/platform/silent_process_test.py
@@ -18,6 +18,9 @@
 RESUMABLE = '/resumable/x'
 LAST_CHUNK = b'0\r\n\r\n'
 
+#: A body that fits into no buffer of a connection.
+LARGE_BODY = b'x' * 900_000
+
 #: How a back end turns a request away for want of room.
 FULL = Script(503, headers=('Pimentoway-Not-Executed: 1',))
 
@@ -64,6 +67,42 @@
         return self._sock.getsockopt(socket.IPPROTO_TCP, option)
 
 
+class DeafListener:
+    """A back end whose kernel accepts connections that nobody reads.
+
+    Attributes:
+        name: The name of the back end.
+        address: The IP number and port.
+    """
+
+    def __init__(self) -> None:
+        """Listen on a free port of localhost, with a small buffer."""
+        self.name = 'e2'
+        self._sock = socket.socket()
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self._sock.bind(('127.0.0.1', 0))
+        self._sock.listen()
+        self.address = f'127.0.0.1:{self._sock.getsockname()[1]}'
+
+
+@pytest.fixture(name='small_buffers')
+def shrink_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let connections to back ends hold few bytes that were not read.
+
+    Args:
+        monkeypatch: Replaces the options that they get.
+    """
+    set_options = connection.set_socket_options
+    monkeypatch.setattr(
+        connection,
+        'set_socket_options',
+        lambda sock, *seconds: (
+            set_options(sock, *seconds),
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096),
+        ),
+    )
+
+
 def make_stream(silence: float = 0, silent_after: int = -1) -> Script:
     """Script a stream with a silence.
 
@@ -272,3 +311,22 @@
     bound = 2 * LONGEST_SILENCE_SECONDS
     assert timeout / 1000 >= bound
     assert idle + interval * probes >= bound
+
+
+# The end of the node was taken for a failure of the other back end, and the
+# request outlasted the node.
+@pytest.mark.usefixtures('small_buffers')
+def test_interrupted_offer_ends_the_request() -> None:
+    """A request ends with its node while it is offered."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(60))
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE, body=LARGE_BODY)
+    gevent.sleep(0.1)
+    listener = DeafListener()
+    harness.add(listener)
+    while not harness.node._channels.open_by_engine['e2']:
+        gevent.sleep(0.01)
+    gevent.sleep(0.05)
+    harness.node._forwarder.interrupt()
+    status, _, _ = call.get(timeout=DELAY_SECONDS)
+    assert status >= 500
