Bound the time for which a request is sent to another back end

While a request with a large body was offered to a back end that did not read, the events of the silent back end waited until the deadline of the request, and its caller got a stream without its end.

Sending an offer now ends after 0.15 s, within the time of the hand-over. The test failed before: the stream broke off after two events.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -62,10 +62,14 @@
         """
         return self._exchange.conn
 
-    def offer(self) -> None:
-        """Send the request while another back end may still answer it."""
+    def offer(self, deadline: float) -> None:
+        """Send the request while another back end may still answer it.
+
+        Args:
+            deadline: The monotonic time at which sending is given up.
+        """
         try:
-            self._exchange.send()
+            self._exchange.send(deadline)
         except _CUT_ERRORS as fault:
             raise self._exchange.make_retry() from fault
 
@@ -135,7 +139,7 @@
 
     def _send_and_forward(self) -> str:
         if self._exchange.outcome is slot.Outcome.unused:
-            self._exchange.send()
+            self._exchange.send(self._context.deadline)
         self._exchange.read_head()
         return self._forward_response()
 
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -119,8 +119,12 @@
             if self.conn is None:
                 self._report()
 
-    def send(self) -> None:
-        """Send the request."""
+    def send(self, deadline: float) -> None:
+        """Send the request.
+
+        Args:
+            deadline: The monotonic time at which sending is given up.
+        """
         context = self._context
         dispatch = call.Dispatch(
             request=context.request,
@@ -136,9 +140,7 @@
         self._events_before = context.event_splitter.count
         self._progressed_at = clock.read_monotonic()
         try:
-            self.conn.send(
-                b'%s%s' % (head, context.request.body), context.deadline
-            )
+            self.conn.send(b'%s%s' % (head, context.request.body), deadline)
         except error.ConnectionLostError as fault:
             raise self.handle_cut(fault) from fault
 
--- a/pimentoway/callers/handover.py
+++ b/pimentoway/callers/handover.py
@@ -18,6 +18,10 @@
 #: silent one is left. A request must not go on at two back ends for 0.4 s.
 HANDOVER_SECONDS = 0.3
 
+#: Seconds for sending the request to the other back end. Events of the silent
+#: one wait meanwhile.
+SEND_SECONDS = 0.15
+
 #: Seconds until another slot is requested: the longest and the shortest pause
 #: after a refusal.
 MAX_RETRY_SECONDS = 0.5
@@ -35,8 +39,12 @@
 
     conn: channel.Channel
 
-    def offer(self) -> None:
-        """Send the request; raises ``RetryError`` if that fails."""
+    def offer(self, deadline: float) -> None:
+        """Send the request; raises ``RetryError`` if that fails.
+
+        Args:
+            deadline: The monotonic time at which sending is given up.
+        """
 
     def is_accepted(self) -> bool:
         """Tell whether the answer has begun; raises ``RetryError`` if not."""
@@ -156,7 +164,7 @@
     def _offer(self, attempt: Attempt, conn: channel.Channel) -> None:
         if not self._offered_at:
             self._offered_at = clock.read_monotonic()
-            attempt.offer()
+            attempt.offer(self._offered_at + SEND_SECONDS)
         end = self._offered_at + HANDOVER_SECONDS
         while not conn.has_input():
             if attempt.is_accepted():
--- a/pimentoway/platform/silent_process_test.py
+++ b/pimentoway/platform/silent_process_test.py
@@ -330,3 +330,19 @@
     harness.node._forwarder.interrupt()
     status, _, _ = call.get(timeout=DELAY_SECONDS)
     assert status >= 500
+
+
+# A back end that took the head of the request, but not its body, kept the
+# events of the silent one waiting until the deadline.
+@pytest.mark.usefixtures('small_buffers')
+def test_unread_offer_ends_no_stream() -> None:
+    """Sending to the other back end takes no longer than the hand-over."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(1.5, 2))
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE, body=LARGE_BODY)
+    gevent.sleep(0.1)
+    listener = DeafListener()
+    harness.add(listener)
+    started = time.monotonic()
+    check_whole(call.get())
+    assert time.monotonic() - started < 1.5 + 2 * DELAY_SECONDS
