Let another run go on when the silent back end fails late

A back end that had been silent answered with an error, or a refusal, while the request had been offered to another back end. The run there was ended, and a new slot was requested; a request without an attempt left ended with the error.

Now the other run goes on, as when the connection breaks. Two cases failed before: one with status 500, one with a second request to the other back end.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -183,6 +183,8 @@
         context = self._context
         response = self._exchange.response
         self._exchange.outcome = slot.Outcome.failed
+        if self._exchange.has_successor() and response.status >= _FAILURE:
+            raise self._exchange.make_retry()
         buffered = _make_buffered(response, self._read_body_or_fail())
         if self._exchange.metadata.sealed and not context.writer.started:
             context.last_failure = buffered
@@ -271,7 +273,7 @@
             raise self._exchange.handle_cut(fault) from fault
 
     def _make_failure(self, reason: str) -> Exception:
-        if self._context.may_retry():
+        if self._exchange.has_successor() or self._context.may_retry():
             return self._exchange.make_retry()
         return error.FailedError(reason, 'answer', self._exchange.engine.name)
 
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -223,8 +223,8 @@
         context = self._context
         if not silent:
             self._check_crash()
-        if self.handover.has_attempt():
-            return attempt_error.HandedOverError()
+        if self.has_successor():
+            return self.make_retry()
         if context.may_retry() and clock.read_monotonic() < context.deadline:
             return self.make_retry()
         if silent:
@@ -235,12 +235,24 @@
             )
         return error.FailedError(fault.reason, fault.step, fault.peer)
 
-    def make_retry(self) -> attempt_error.RetryError:
+    def has_successor(self) -> bool:
+        """Tell whether an attempt at another back end can go on.
+
+        Returns:
+            Whether one is prepared.
+        """
+        return self.handover.has_attempt()
+
+    def make_retry(
+        self,
+    ) -> attempt_error.RetryError | attempt_error.HandedOverError:
         """Let the request go to another back end.
 
         Returns:
             The exception to raise.
         """
+        if self.has_successor():
+            return attempt_error.HandedOverError()
         # One that wants no requests now may get this one later.
         if self._dependencies.slots.may_use(self.engine):
             self._context.avoid(self.engine.name)
--- a/pimentoway/platform/silent_process_test.py
+++ b/pimentoway/platform/silent_process_test.py
@@ -9,7 +9,7 @@
 from gevent import socket as gevent_socket
 
 from pimentoway.callers import exchange
-from pimentoway.core import connection
+from pimentoway.core import connection, deployment
 from pimentoway.platform import edge_process_test, scripted_engine
 
 Script = scripted_engine.Script
@@ -103,6 +103,22 @@
     )
 
 
+def make_routes(**changes: object) -> tuple[deployment.Route, ...]:
+    """Make the routes of a configuration with another resumable one.
+
+    Args:
+        **changes: Fields of the route that replace those of the usual one.
+
+    Returns:
+        The route.
+    """
+    return tuple(
+        dataclasses.replace(route, **changes)
+        for route in edge_process_test.ROUTES
+        if route.name == 'resumable'
+    )
+
+
 def make_stream(silence: float = 0, silent_after: int = -1) -> Script:
     """Script a stream with a silence.
 
@@ -346,3 +362,25 @@
     started = time.monotonic()
     check_whole(call.get())
     assert time.monotonic() - started < 1.5 + 2 * DELAY_SECONDS
+
+
+# The run at the other back end was ended when the silent one failed, and the
+# request then had no attempt left.
+@pytest.mark.parametrize('status', [500, 503])
+def test_late_failure_ends_no_other_run(status: int) -> None:
+    """The run that was offered goes on."""
+    late = Script(
+        status,
+        headers=('Pimentoway-Not-Executed: 1',) if status == 503 else (),
+        silence=exchange.RESUME_SECONDS + 0.1,
+        silent_after=-1,
+    )
+    one = scripted_engine.ScriptedEngine('e1', late)
+    harness = edge_process_test.NodeHarness(one)
+    harness.configure(2, make_routes(attempts=2))
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    two = scripted_engine.ScriptedEngine('e2', make_stream(0.25))
+    harness.add(two)
+    check_whole(call.get())
+    assert len(two.requests) == 1
