Leave a back end that sends comments only

Since a silent back end is left only between two of its messages, one that sent a comment every 10 ms was never left: its stream broke off at the deadline, and a run that was offered elsewhere would have gone on beside it.

Bytes without an event no longer delay the hand-over, unless more of them wait to be read.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -226,6 +226,8 @@
             events = self._split_events(part)
             if eventstream.has_event(events):
                 self._exchange.note_event()
+            else:
+                self._exchange.note_no_event()
             if resumed:
                 self._check_resumed(events)
             if events:
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -201,6 +201,17 @@
         self._progressed_at = clock.read_monotonic()
         self.handover.stop()
 
+    def note_no_event(self) -> None:
+        """Record that the back end has sent bytes that are no event.
+
+        If its last event was long ago, another back end is looked for until
+        more bytes come.
+        """
+        silent = clock.read_monotonic() - self._progressed_at
+        late = silent >= RESUME_SECONDS and not self.response.complete
+        if late and self._may_go_on_elsewhere():
+            self._look_elsewhere()
+
     def record_first_event(self) -> None:
         """Record when the first event, or a complete response, came."""
         now = clock.read_monotonic()
@@ -295,10 +306,13 @@
             except channel.SilentError:
                 if not self._may_go_on_elsewhere():
                     raise
-            if not self.handover.is_looking():
-                self._log_silence()
-            self._context.avoid(self.engine.name)
-            self.handover.await_input(self.conn, self._context.deadline)
+            self._look_elsewhere()
+
+    def _look_elsewhere(self) -> None:
+        if not self.handover.is_looking():
+            self._log_silence()
+        self._context.avoid(self.engine.name)
+        self.handover.await_input(self.conn, self._context.deadline)
 
     def _may_go_on_elsewhere(self) -> bool:
         context = self._context
--- a/pimentoway/platform/silent_process_test.py
+++ b/pimentoway/platform/silent_process_test.py
@@ -384,3 +384,23 @@
     harness.add(two)
     check_whole(call.get())
     assert len(two.requests) == 1
+
+
+# A stream stayed for good with a back end that sent comments only, as each of
+# them ended the wait for the other back end.
+def test_frequent_comments_hold_no_stream() -> None:
+    """Only events count as progress, however many bytes come."""
+    comments = (b': still here\n\n',) * 250
+    script = Script(body=(*EVENTS[:2], *comments), chunked=True, pause=0.01)
+    one = scripted_engine.ScriptedEngine('e1', script)
+    harness = edge_process_test.NodeHarness(one)
+    started = time.monotonic()
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    two = scripted_engine.ScriptedEngine(
+        'e2', Script(body=EVENTS[2:], chunked=True)
+    )
+    harness.add(two)
+    check_whole(call.get())
+    assert two.requests
+    assert time.monotonic() - started < exchange.RESUME_SECONDS + 1
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -17,9 +17,9 @@
     guard_text.Guard(
         'a silent back end is left only for another one',
         'callers/exchange.py',
-        '            self.handover.await_input('
+        '        self.handover.await_input('
         'self.conn, self._context.deadline)\n',
-        "            raise error.ConnectionLostError('silent', 'read')\n",
+        "        raise error.ConnectionLostError('silent', 'read')\n",
         _SILENCE,
         _REAL,
     ),
