Release the hand-over of a request without a wait

When a request ended, it waited for the end of the greenlet that looked for another back end. A second error in that moment, such as the end of the node just when the caller left, prevented the rest: the connection to the back end stayed open and the grant was never reported.

Now the greenlet is told to end, and itself closes what it still prepares. The test failed before: nothing was released.

--- a/pimentoway/callers/handover.py
+++ b/pimentoway/callers/handover.py
@@ -146,14 +146,15 @@
     def stop(self) -> None:
         """Stop looking for another back end, as the first one goes on."""
         if self._task:
-            self._task.kill()
+            # Waiting for its end could be interrupted.
+            self._task.kill(block=False)
             self._task = None
         self._close_attempt()
 
     def _look(self) -> None:
         while self._attempt is None and self._may_retry():
             try:
-                self._attempt = self._prepare()
+                self._keep(self._prepare())
             except attempt_error.RetryError:
                 gevent.sleep(MIN_RETRY_SECONDS)
             except error.NotRunError as refusal:
@@ -161,6 +162,13 @@
                 gevent.sleep(max(pause, MIN_RETRY_SECONDS))
         self._wake.set()
 
+    def _keep(self, attempt: Attempt) -> None:
+        if self._task is gevent.getcurrent():
+            self._attempt = attempt
+        else:
+            attempt.close()
+            raise gevent.GreenletExit
+
     def _offer(self, attempt: Attempt, conn: channel.Channel) -> None:
         if not self._offered_at:
             self._offered_at = clock.read_monotonic()
