Keep links when all nodes stood still

The last 0.05 s of the silence are now awaited in a read of their own, which begins after the pause.

--- a/pimentoway/nodes/link.py
+++ b/pimentoway/nodes/link.py
@@ -29,6 +29,10 @@
 #: four heartbeats, so that one lost packet doesn't end the link.
 SILENCE_SECONDS = 0.45
 
+#: The part of them, in seconds, in which a message is awaited anew: after a
+#: pause of this process it may have come, or come at once.
+LAST_WAIT_SECONDS = 0.05
+
 #: Seconds to connect to another node and to receive its first message.
 CONNECT_SECONDS = 0.3
 
@@ -138,7 +142,6 @@
 
     def _read(self, on_message: MessageHandler) -> None:
         reader = frame.FrameReader()
-        self._sock.settimeout(SILENCE_SECONDS)
         block = self._received or self._read_block()
         while self.open:
             for message in reader.feed(block):
@@ -147,7 +150,12 @@
             block = self._read_block()
 
     def _read_block(self) -> bytes:
-        block = self._sock.recv(READ_BYTES)
+        self._sock.settimeout(SILENCE_SECONDS - LAST_WAIT_SECONDS)
+        try:
+            block = self._sock.recv(READ_BYTES)
+        except TimeoutError:
+            self._sock.settimeout(LAST_WAIT_SECONDS)
+            block = self._sock.recv(READ_BYTES)
         if not block:
             raise error.NodeError(
                 'the peer closed the connection', 'read', self.peer
