Read a request that came while the event loop stood still

A caller whose whole request waited in the socket got 408 when the event loop had stood still beyond the time limit of the head, or of the body.

What waits in the socket is now read before the limit is applied, as on idle connections. Both cases failed before with 408.

--- a/pimentoway/callers/connection.py
+++ b/pimentoway/callers/connection.py
@@ -190,9 +190,10 @@
 
     def _receive_before(self, deadline: float) -> bool:
         remaining = deadline - clock.read_monotonic()
-        if remaining <= 0:
+        # After a pause of the event loop the rest of the request may wait.
+        if remaining <= 0 and not connection.is_readable(self._sock):
             raise message.MessageError('the request took too long', _TIMEOUT)
-        return self._receive(remaining)
+        return self._receive(max(remaining, connection.MIN_TIMEOUT_SECONDS))
 
     def _receive(self, seconds: float) -> bool:
         self._sock.settimeout(seconds)
--- a/pimentoway/platform/unanswered_process_test.py
+++ b/pimentoway/platform/unanswered_process_test.py
@@ -170,3 +170,28 @@
         edge_process_test.read_all(sock)
     )
     assert status == 200
+
+
+# Guards against a whole request that is refused as too slow: the event loop
+# stood still beyond the time for its head, or its body, while the rest came.
+@pytest.mark.parametrize('sent', [20, -1])
+def test_request_that_came_in_a_pause_is_served(sent: int) -> None:
+    """What waits in the socket is read when the time is over."""
+    harness = edge_process_test.NodeHarness(make_engine())
+    limits = deployment.CallerLimits(
+        idle_seconds=IDLE_SECONDS, header_seconds=IDLE_SECONDS
+    )
+    harness.node._forwarder.read_limits = lambda: limits
+    request = edge_process_test.make_request('/safe/x')
+    sock = harness.connect()
+    sock.sendall(request[:sent])
+    # Both timers are due after the pause, this one first.
+    gevent.spawn_later(
+        IDLE_SECONDS - EARLY_SECONDS / 2, sock.sendall, request[sent:]
+    )
+    gevent.sleep(IDLE_SECONDS - EARLY_SECONDS)
+    time.sleep(PAUSE_SECONDS)
+    status, _, _ = edge_process_test.parse_answer(
+        edge_process_test.read_all(sock)
+    )
+    assert status == 200
