Take a silent back end of the own interface for no crashed one

A stream broke after a silence, and connecting for a load report timed out. That counted as a crash: the run, which its back end still had, was not resumed, and all requests there became suspects.

Only a refused connection is a crash now, as on the platform. The stand-in's network refuses connections with the error of real ones. The case of a timeout failed before.

--- a/pimentoway/ops/dispatch.py
+++ b/pimentoway/ops/dispatch.py
@@ -377,9 +377,10 @@
     def _is_crashed(self, state: fleet.BackendState, boot: str) -> bool:
         try:
             report = exchange.fetch_report(state.backend, self._link)
-        except error.ConnectError:
+        except error.ConnectError as fault:
             state.note_refused_connection()
-            return True
+            # A back end that is silent may still run the request.
+            return isinstance(fault.__cause__, ConnectionError)
         except error.PimentowayError:
             return False
         self._link.on_report(state.backend.name, report)
--- a/pimentoway/ops/dispatch_test.py
+++ b/pimentoway/ops/dispatch_test.py
@@ -1,8 +1,11 @@
 """Tests of the races between granting, expiry and refusal of a ticket."""
 
+from unittest import mock
+
 import gevent
 import pytest
 
+from pimentoway.backends import exchange
 from pimentoway.core import configuration, error, request, trace
 from pimentoway.ops import dispatch, queue, scheduler
 
@@ -122,3 +125,23 @@
     )
     with pytest.raises(error.ConfigurationMissingError):
         unconfigured.submit(make_request())
+
+
+# Guards against runs that are given up, and requests that are suspected of a
+# crash, because their back end was silent for a second.
+@pytest.mark.parametrize(
+    ('cause', 'crashed'),
+    [(ConnectionRefusedError(), True), (TimeoutError(), False)],
+)
+def test_silent_back_end_has_not_crashed(
+    monkeypatch: pytest.MonkeyPatch, cause: OSError, crashed: bool
+) -> None:
+    """Only a refused connection shows that the run has ended."""
+    fault = error.ConnectError('no connection', 'connect')
+    fault.__cause__ = cause
+    fetch = mock.Mock(side_effect=fault)
+    monkeypatch.setattr(exchange, 'fetch_report', fetch)
+    dispatcher = dispatch.Dispatcher(
+        StubScheduler(), None, trace.Tracer('test'), None, None
+    )
+    assert dispatcher._is_crashed(mock.Mock(), 'boot') == crashed
--- a/pimentoway/standin/network.py
+++ b/pimentoway/standin/network.py
@@ -188,7 +188,10 @@
         self._host.simulate_transit(call.address)
         backend = self._host.network.backend_by_address[call.address]
         if backend.is_down():
-            raise error.ConnectError('refused', 'connect', call.address)
+            refusal = ConnectionRefusedError(call.address)
+            raise error.ConnectError(
+                'refused', 'connect', call.address
+            ) from refusal
         return _dispatch_call(backend, call, self._host)
 
 
