--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -21,6 +21,10 @@
 #: read only to reuse the connection.
 NOT_RUN_BODY_SECONDS = 0.05
 
+#: What a broken connection means to a request that is not sent again. The
+#: errors that end a request from outside are none of them.
+_CUT_ERRORS = (error.FailedError, error.OutcomeUnknownError)
+
 _LOG = log.Log('attempt')
 
 _CONTENT_TYPE = b'content-type'
@@ -58,11 +62,15 @@
         """
         return self._exchange.conn
 
-    def offer(self) -> None:
-        """Send the request while another back end may still answer it."""
+    def offer(self, deadline: float) -> None:
+        """Send the request while another back end may still answer it.
+
+        Args:
+            deadline: The monotonic time at which sending is given up.
+        """
         try:
-            self._exchange.send()
-        except error.PimentowayError as fault:
+            self._exchange.send(deadline)
+        except _CUT_ERRORS as fault:
             raise self._exchange.make_retry() from fault
 
     def is_accepted(self) -> bool:
@@ -76,7 +84,7 @@
         try:
             if not self._exchange.poll_head():
                 return False
-        except error.PimentowayError as fault:
+        except _CUT_ERRORS as fault:
             raise self._exchange.make_retry() from fault
         if self._exchange.metadata.not_run:
             self._handle_not_run()
@@ -131,7 +139,7 @@
 
     def _send_and_forward(self) -> str:
         if self._exchange.outcome is slot.Outcome.unused:
-            self._exchange.send()
+            self._exchange.send(self._context.deadline)
         self._exchange.read_head()
         return self._forward_response()
 
@@ -175,6 +183,8 @@
         context = self._context
         response = self._exchange.response
         self._exchange.outcome = slot.Outcome.failed
+        if self._exchange.has_successor() and response.status >= _FAILURE:
+            raise self._exchange.make_retry()
         buffered = _make_buffered(response, self._read_body_or_fail())
         if self._exchange.metadata.sealed and not context.writer.started:
             context.last_failure = buffered
@@ -214,8 +224,7 @@
         part = self._exchange.read_part()
         while part:
             events = self._split_events(part)
-            if eventstream.has_event(events):
-                self._exchange.note_event()
+            self._exchange.note_part(eventstream.has_event(events))
             if resumed:
                 self._check_resumed(events)
             if events:
@@ -263,7 +272,7 @@
             raise self._exchange.handle_cut(fault) from fault
 
     def _make_failure(self, reason: str) -> Exception:
-        if self._context.may_retry():
+        if self._exchange.has_successor() or self._context.may_retry():
             return self._exchange.make_retry()
         return error.FailedError(reason, 'answer', self._exchange.engine.name)
 
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -1,6 +1,5 @@
 """The exchange of a request with one back end, up to its report."""
 
-import collections
 import dataclasses
 import math
 
@@ -9,24 +8,12 @@
     attempt_error,
     handover,
     notice_reader,
+    patience,
     request_context,
 )
-from pimentoway.core import call, clock, deployment, error, log, message
+from pimentoway.core import call, clock, deployment, error, message
 from pimentoway.ops import slot, slotclient
 
-#: Seconds without an event after which another back end is looked for that
-#: can go on with a resumable stream: several times the longest pause of a
-#: healthy stream. A stalled back end may still send comments or single bytes.
-RESUME_SECONDS = 1.2
-
-#: Seconds after which a request is taken as lost on its way if the kernel of
-#: the back end has acknowledged none of it since: its slot is given back.
-UNACKNOWLEDGED_SECONDS = 0.4
-
-#: The shortest read, in seconds, from a silent back end that has sent
-#: something: the rest of it may be on its way.
-MIN_READ_SECONDS = 0.02
-
 #: The longest idle time, in seconds, of a connection that is reused for a
 #: request that must not run twice. The back end may close an older one just
 #: as the request is sent, which would leave the outcome unknown.
@@ -35,10 +22,6 @@
 #: The largest response body, in bytes, that is buffered.
 MAX_BUFFERED_BYTES = 0x400000
 
-_LOG = log.Log('attempt')
-
-_Read = collections.abc.Callable[[float], bytes | None]
-
 
 @dataclasses.dataclass(frozen=True)
 class Dependencies:
@@ -71,7 +54,6 @@
         first_event_seconds: The time from the start to the first event or to
             a complete response; 0 before that.
         handover: Looks for another back end while this one is silent.
-        is_lost: Whether the request was reported as lost on its way.
     """
 
     def __init__(
@@ -98,17 +80,14 @@
         self.outcome = slot.Outcome.unused
         self.first_event_seconds: float = 0
         self.handover = handover.Handover(prepare_next, context.may_retry)
-        self.is_lost = False
         self._dependencies = dependencies
         self._context = context
         self._slot_request = slot_request
         self._started = clock.read_monotonic()
-        self._progressed_at = self._started
         self._events_before = context.event_splitter.count
-        # The bytes that the back end's kernel has not acknowledged, and when
-        # they were counted last.
-        self._unacknowledged = 0
-        self._counted_at: float = 0
+        self._reader = patience.PatientReader(
+            context, engine.name, self.handover, self._give_back_slot
+        )
 
     def connect(self) -> None:
         """Connect to the back end, or report to the broker if that fails.
@@ -129,8 +108,12 @@
             if self.conn is None:
                 self._report()
 
-    def send(self) -> None:
-        """Send the request."""
+    def send(self, deadline: float) -> None:
+        """Send the request.
+
+        Args:
+            deadline: The monotonic time at which sending is given up.
+        """
         context = self._context
         dispatch = call.Dispatch(
             request=context.request,
@@ -144,14 +127,11 @@
         context.possible_runs += 1
         self.outcome = slot.Outcome.abandoned
         self._events_before = context.event_splitter.count
-        self._progressed_at = clock.read_monotonic()
         try:
-            self.conn.send(
-                b'%s%s' % (head, context.request.body), context.deadline
-            )
+            self.conn.send(b'%s%s' % (head, context.request.body), deadline)
         except error.ConnectionLostError as fault:
             raise self.handle_cut(fault) from fault
-        self._count_unacknowledged()
+        self._reader.start(self.conn)
 
     def poll_head(self) -> bool:
         """Read the head of the response if it has arrived.
@@ -162,7 +142,7 @@
         if not self.conn.has_input():
             return False
         try:
-            self._read_head(clock.read_monotonic() + MIN_READ_SECONDS)
+            self._read_head(clock.read_monotonic() + patience.MIN_READ_SECONDS)
         except channel.SilentError:
             return False
         except error.ConnectionLostError as fault:
@@ -205,10 +185,16 @@
             part = self._read_body_part(deadline)
         return bytes(body)
 
-    def note_event(self) -> None:
-        """Record that the back end has sent an event."""
-        self._progressed_at = clock.read_monotonic()
-        self.handover.stop()
+    def note_part(self, has_event: bool) -> None:
+        """Record that the back end has sent bytes.
+
+        Args:
+            has_event: Whether they complete an event.
+        """
+        if has_event:
+            self._reader.note_event()
+        elif not self.response.complete:
+            self._reader.note_no_event()
 
     def record_first_event(self) -> None:
         """Record when the first event, or a complete response, came."""
@@ -232,11 +218,10 @@
         context = self._context
         if not silent:
             self._check_crash()
-        if clock.read_monotonic() < context.deadline:
-            if self.handover.has_attempt():
-                return attempt_error.HandedOverError()
-            if context.may_retry():
-                return self.make_retry()
+        if self.has_successor():
+            return self.make_retry()
+        if context.may_retry() and clock.read_monotonic() < context.deadline:
+            return self.make_retry()
         if silent:
             return error.OutcomeUnknownError(
                 'no answer in time',
@@ -245,12 +230,25 @@
             )
         return error.FailedError(fault.reason, fault.step, fault.peer)
 
-    def make_retry(self) -> attempt_error.RetryError:
+    def has_successor(self) -> bool:
+        """Tell whether an attempt at another back end can go on.
+
+        Returns:
+            Whether one is prepared.
+        """
+        now = clock.read_monotonic()
+        return now < self._context.deadline and self.handover.has_attempt()
+
+    def make_retry(
+        self,
+    ) -> attempt_error.RetryError | attempt_error.HandedOverError:
         """Let the request go to another back end.
 
         Returns:
             The exception to raise.
         """
+        if self.has_successor():
+            return attempt_error.HandedOverError()
         # One that wants no requests now may get this one later.
         if self._dependencies.slots.may_use(self.engine):
             self._context.avoid(self.engine.name)
@@ -259,7 +257,7 @@
     def close(self) -> None:
         """Keep or close the connection, and report to the broker."""
         self.handover.stop()
-        if self.is_lost and not self.conn.is_acknowledged():
+        if self._reader.is_lost and not self.conn.is_acknowledged():
             # The back end would run what is still on its way.
             self.conn.reset_on_close()
         # Closing the connection makes the back end cancel the request.
@@ -269,7 +267,7 @@
             )
         else:
             self._dependencies.channels.discard(self.conn)
-        if not self.is_lost:
+        if not self._reader.is_lost:
             self._report()
 
     def _read_head(self, deadline: float) -> None:
@@ -279,96 +277,23 @@
         self.metadata = metadata
         self._dependencies.notices.read(self.engine, metadata.notices)
         self._context.framing = response.framing
-        self._unacknowledged = 0
-        if self.is_lost:
+        self._reader.note_answer()
+        if self._reader.is_lost:
             self._dependencies.slots.report_path(self.engine.name, is_open=True)
 
     def _read_body_part(self, deadline: float) -> bytes:
         return self.conn.read_body_part(self.response, deadline)
 
-    def _read(self, read: _Read) -> bytes | None:
+    def _read(self, read: patience.Read) -> bytes | None:
         try:
-            return self._read_patiently(read)
+            return self._reader.read(read)
         except error.ConnectionLostError as fault:
             raise self.handle_cut(fault) from fault
 
-    def _read_patiently(self, read: _Read) -> bytes | None:
-        # A silent back end is left only for another one that goes on.
-        while True:
-            try:
-                return read(self._compute_read_deadline())
-            except channel.SilentError:
-                if clock.read_monotonic() >= self._context.deadline:
-                    raise
-            self._check_acknowledged()
-            if self._is_silent():
-                self._await_input()
-
-    def _await_input(self) -> None:
-        now = clock.read_monotonic()
-        if not self.handover.is_looking():
-            _LOG.write(
-                'back end is silent, looks for another one.',
-                self._context.request.request_id,
-                engine=self.engine.name,
-                silent=round(now - self._progressed_at, 3),
-                acknowledged=self.conn.is_acknowledged(),
-                events=self._context.event_splitter.count,
-                left=round(self._context.deadline - now, 3),
-            )
-        self._context.avoid(self.engine.name)
-        self.handover.await_input(self.conn, self._context.deadline)
-
-    def _is_silent(self) -> bool:
-        # Whether another back end is to be looked for.
-        if self._may_go_on_elsewhere():
-            return clock.read_monotonic() >= self._compute_silence_end()
-        return False
-
-    def _may_go_on_elsewhere(self) -> bool:
-        route = self._context.route
-        return (
-            route.resumable or (route.idempotent and self.is_lost)
-        ) and self.handover.is_possible()
-
-    def _compute_silence_end(self) -> float:
-        if self.is_lost:
-            return self._counted_at
-        return self._progressed_at + RESUME_SECONDS
-
-    def _compute_read_deadline(self) -> float:
-        ends = [self._context.deadline]
-        soon = clock.read_monotonic() + MIN_READ_SECONDS
-        if self._unacknowledged and not self.is_lost:
-            ends.append(max(soon, self._counted_at + UNACKNOWLEDGED_SECONDS))
-        if self._may_go_on_elsewhere():
-            ends.append(max(soon, self._compute_silence_end()))
-        return min(ends)
-
-    def _count_unacknowledged(self) -> None:
-        self._unacknowledged = self.conn.count_unacknowledged()
-        self._counted_at = clock.read_monotonic()
-
-    def _check_acknowledged(self) -> None:
-        now = clock.read_monotonic()
-        before = self._unacknowledged
-        if not before or now < self._counted_at + UNACKNOWLEDGED_SECONDS:
-            return
-        self._count_unacknowledged()
-        if self._unacknowledged >= before and not self.is_lost:
-            self._give_back_slot()
-
     def _give_back_slot(self) -> None:
         # The answer may still come, and only then would a second run be wrong
         # for a request that must not run twice.
-        self.is_lost = True
         self.outcome = slot.Outcome.unacknowledged
-        _LOG.write(
-            'nothing was acknowledged, gives the slot back.',
-            self._context.request.request_id,
-            engine=self.engine.name,
-            unacknowledged=self._unacknowledged,
-        )
         self._report()
 
     def _check_crash(self) -> None:
--- a/pimentoway/callers/handover.py
+++ b/pimentoway/callers/handover.py
@@ -18,6 +18,10 @@
 #: silent one is left. A request must not go on at two back ends for 0.4 s.
 HANDOVER_SECONDS = 0.3
 
+#: Seconds for sending the request to the other back end. Events of the silent
+#: one wait meanwhile.
+SEND_SECONDS = 0.15
+
 #: Seconds until another slot is requested: the longest and the shortest pause
 #: after a refusal.
 MAX_RETRY_SECONDS = 0.5
@@ -35,8 +39,12 @@
 
     conn: channel.Channel
 
-    def offer(self) -> None:
-        """Send the request; raises ``RetryError`` if that fails."""
+    def offer(self, deadline: float) -> None:
+        """Send the request; raises ``RetryError`` if that fails.
+
+        Args:
+            deadline: The monotonic time at which sending is given up.
+        """
 
     def is_accepted(self) -> bool:
         """Tell whether the answer has begun; raises ``RetryError`` if not."""
@@ -138,14 +146,15 @@
     def stop(self) -> None:
         """Stop looking for another back end, as the first one goes on."""
         if self._task:
-            self._task.kill()
+            # Waiting for its end could be interrupted.
+            self._task.kill(block=False)
             self._task = None
         self._close_attempt()
 
     def _look(self) -> None:
         while self._attempt is None and self._may_retry():
             try:
-                self._attempt = self._prepare()
+                self._keep(self._prepare())
             except attempt_error.RetryError:
                 gevent.sleep(MIN_RETRY_SECONDS)
             except error.NotRunError as refusal:
@@ -153,10 +162,17 @@
                 gevent.sleep(max(pause, MIN_RETRY_SECONDS))
         self._wake.set()
 
+    def _keep(self, attempt: Attempt) -> None:
+        if self._task is gevent.getcurrent():
+            self._attempt = attempt
+        else:
+            attempt.close()
+            raise gevent.GreenletExit
+
     def _offer(self, attempt: Attempt, conn: channel.Channel) -> None:
         if not self._offered_at:
             self._offered_at = clock.read_monotonic()
-            attempt.offer()
+            attempt.offer(self._offered_at + SEND_SECONDS)
         end = self._offered_at + HANDOVER_SECONDS
         while not conn.has_input():
             if attempt.is_accepted():
--- a/pimentoway/platform/silent_process_test.py
+++ b/pimentoway/platform/silent_process_test.py
@@ -8,8 +8,8 @@
 import pytest
 from gevent import socket as gevent_socket
 
-from pimentoway.callers import exchange
-from pimentoway.core import connection
+from pimentoway.callers import patience
+from pimentoway.core import connection, deployment
 from pimentoway.platform import edge_process_test, scripted_engine
 
 Script = scripted_engine.Script
@@ -18,6 +18,9 @@
 RESUMABLE = '/resumable/x'
 LAST_CHUNK = b'0\r\n\r\n'
 
+#: A body that fits into no buffer of a connection.
+LARGE_BODY = b'x' * 900_000
+
 #: How a back end turns a request away for want of room.
 FULL = Script(503, headers=('Pimentoway-Not-Executed: 1',))
 
@@ -64,6 +67,58 @@
         return self._sock.getsockopt(socket.IPPROTO_TCP, option)
 
 
+class DeafListener:
+    """A back end whose kernel accepts connections that nobody reads.
+
+    Attributes:
+        name: The name of the back end.
+        address: The IP number and port.
+    """
+
+    def __init__(self) -> None:
+        """Listen on a free port of localhost, with a small buffer."""
+        self.name = 'e2'
+        self._sock = socket.socket()
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self._sock.bind(('127.0.0.1', 0))
+        self._sock.listen()
+        self.address = f'127.0.0.1:{self._sock.getsockname()[1]}'
+
+
+@pytest.fixture(name='small_buffers')
+def shrink_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let connections to back ends hold few bytes that were not read.
+
+    Args:
+        monkeypatch: Replaces the options that they get.
+    """
+    set_options = connection.set_socket_options
+    monkeypatch.setattr(
+        connection,
+        'set_socket_options',
+        lambda sock, *seconds: (
+            set_options(sock, *seconds),
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096),
+        ),
+    )
+
+
+def make_routes(**changes: object) -> tuple[deployment.Route, ...]:
+    """Make the routes of a configuration with another resumable one.
+
+    Args:
+        **changes: Fields of the route that replace those of the usual one.
+
+    Returns:
+        The route.
+    """
+    return tuple(
+        dataclasses.replace(route, **changes)
+        for route in edge_process_test.ROUTES
+        if route.name == 'resumable'
+    )
+
+
 def make_stream(silence: float = 0, silent_after: int = -1) -> Script:
     """Script a stream with a silence.
 
@@ -214,7 +269,7 @@
     assert dead.abandoned == 1
     check_whole(call.get())
     waited = time.monotonic() - started
-    assert waited < exchange.RESUME_SECONDS + 2
+    assert waited < patience.RESUME_SECONDS + 2
 
 
 # An event of the first back end came while the second one was asked.
@@ -222,7 +277,7 @@
     """No event comes twice, and the other run is cancelled."""
     # The pauses before the head and after two events precede the silence.
     pause = 0.15
-    silence = exchange.RESUME_SECONDS - pause + 0.1
+    silence = patience.RESUME_SECONDS - pause + 0.1
     script = dataclasses.replace(make_stream(silence, 2), pause=pause)
     one = scripted_engine.ScriptedEngine('e1', script)
     harness = edge_process_test.NodeHarness(one)
@@ -343,3 +398,80 @@
     assert EVENTS[-1] in body
     assert time.monotonic() - started < 1
     assert lost.resets == 1
+
+
+# The end of the node was taken for a failure of the other back end, and the
+# request outlasted the node.
+@pytest.mark.usefixtures('small_buffers')
+def test_interrupted_offer_ends_the_request() -> None:
+    """A request ends with its node while it is offered."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(60))
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE, body=LARGE_BODY)
+    gevent.sleep(0.1)
+    listener = DeafListener()
+    harness.add(listener)
+    while not harness.node._channels.open_by_engine['e2']:
+        gevent.sleep(0.01)
+    gevent.sleep(0.05)
+    harness.node._forwarder.interrupt()
+    status, _, _ = call.get(timeout=DELAY_SECONDS)
+    assert status >= 500
+
+
+# A back end that took the head of the request, but not its body, kept the
+# events of the silent one waiting until the deadline.
+@pytest.mark.usefixtures('small_buffers')
+def test_unread_offer_ends_no_stream() -> None:
+    """Sending to the other back end takes no longer than the hand-over."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(1.5, 2))
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE, body=LARGE_BODY)
+    gevent.sleep(0.1)
+    listener = DeafListener()
+    harness.add(listener)
+    started = time.monotonic()
+    check_whole(call.get())
+    assert time.monotonic() - started < 1.5 + 2 * DELAY_SECONDS
+
+
+# The run at the other back end was ended when the silent one failed, and the
+# request then had no attempt left.
+@pytest.mark.parametrize('status', [500, 503])
+def test_late_failure_ends_no_other_run(status: int) -> None:
+    """The run that was offered goes on."""
+    late = Script(
+        status,
+        headers=('Pimentoway-Not-Executed: 1',) if status == 503 else (),
+        silence=patience.RESUME_SECONDS + 0.1,
+        silent_after=-1,
+    )
+    one = scripted_engine.ScriptedEngine('e1', late)
+    harness = edge_process_test.NodeHarness(one)
+    harness.configure(2, make_routes(attempts=2))
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    two = scripted_engine.ScriptedEngine('e2', make_stream(0.25))
+    harness.add(two)
+    check_whole(call.get())
+    assert len(two.requests) == 1
+
+
+# A stream stayed for good with a back end that sent comments only, as each of
+# them ended the wait for the other back end.
+def test_frequent_comments_hold_no_stream() -> None:
+    """Only events count as progress, however many bytes come."""
+    comments = (b': still here\n\n',) * 250
+    script = Script(body=(*EVENTS[:2], *comments), chunked=True, pause=0.01)
+    one = scripted_engine.ScriptedEngine('e1', script)
+    harness = edge_process_test.NodeHarness(one)
+    started = time.monotonic()
+    call = gevent.spawn(harness.call, RESUMABLE)
+    gevent.sleep(0.1)
+    two = scripted_engine.ScriptedEngine(
+        'e2', Script(body=EVENTS[2:], chunked=True)
+    )
+    harness.add(two)
+    check_whole(call.get())
+    assert two.requests
+    assert time.monotonic() - started < patience.RESUME_SECONDS + 1
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -8,9 +8,9 @@
 GUARDS = (
     guard_text.Guard(
         'a request that was lost on its way returns its slot',
-        'callers/exchange.py',
-        '            self._give_back_slot()\n',
-        '            self.is_lost = True\n',
+        'callers/patience.py',
+        '        self._on_lost()\n',
+        '',
         _SILENCE,
         _REAL,
     ),
@@ -32,10 +32,10 @@
     ),
     guard_text.Guard(
         'a silent back end is left only for another one',
-        'callers/exchange.py',
-        '        self.handover.await_input('
-        'self.conn, self._context.deadline)\n',
-        "        raise error.ConnectionLostError('silent', 'read')\n",
+        'callers/patience.py',
+        '        self._handover.await_input('
+        'self._conn, self._context.deadline)\n',
+        "        raise channel.SilentError('silent', 'read')\n",
         _SILENCE,
         _REAL,
     ),
@@ -59,9 +59,9 @@
     ),
     guard_text.Guard(
         'the other run ends when the silent back end goes on',
-        'callers/exchange.py',
+        'callers/patience.py',
         '        self._progressed_at = clock.read_monotonic()\n'
-        '        self.handover.stop()\n',
+        '        self._handover.stop()\n',
         '        self._progressed_at = clock.read_monotonic()\n',
         _SILENCE,
         _REAL,
