Bound what the broker keeps of lost paths, and what they cost

With 380 nodes, 127 of them cut from 600 back ends, the table held 76,200 paths, 13.3 MB, and a decision for a node without faults took 6.0 ms instead of 1.4 ms, as each path was checked.

--- a/pimentoway/ops/enginetable.py
+++ b/pimentoway/ops/enginetable.py
@@ -147,6 +147,10 @@
         if not capacity.free_engines or not self._has_limits():
             return
         reaches = [self.make_reach(requester) for requester in set(requesters)]
+        if not self.notices.has_pauses() and any(
+            reach.reaches_all() for reach in reaches
+        ):
+            return
         capacity.free_engines = [
             state
             for state in capacity.free_engines
--- a/pimentoway/ops/pathrecord.py
+++ b/pimentoway/ops/pathrecord.py
@@ -20,6 +20,10 @@
 #: it: answers that are on their way when a back end ends come before.
 PROOF_SECONDS = 0.05
 
+#: The most paths with faults that are kept of one node; the oldest is dropped
+#: first.
+MAX_PATHS = 128
+
 NEVER = float('-inf')
 
 
@@ -134,7 +138,7 @@
         Returns:
             Whether that was after an earlier fault of the path.
         """
-        path = self.path_by_engine.get(engine)
+        path = self.path_by_engine.pop(engine, None)
         repeated = (
             path is not None and other_success > path.lost_at + PROOF_SECONDS
         )
@@ -145,6 +149,8 @@
         self.path_by_engine[engine] = Path(
             now, now + expiry, is_contradicted=repeated
         )
+        if len(self.path_by_engine) > MAX_PATHS:
+            self.path_by_engine.pop(next(iter(self.path_by_engine)))
         return repeated
 
     def list_lost(self, since: float) -> list[Path]:
--- a/pimentoway/ops/pathtable.py
+++ b/pimentoway/ops/pathtable.py
@@ -120,6 +120,17 @@
         """
         return bool(self._paths_by_node)
 
+    def has_faults_of(self, node: str) -> bool:
+        """Tell whether any path of a node may not be open.
+
+        Args:
+            node: The name of the node.
+
+        Returns:
+            Whether paths with faults of it are known.
+        """
+        return node in self._paths_by_node
+
     def is_lost(self, node: str) -> bool:
         """Tell whether a node's paths to the back ends are cut.
 
--- a/pimentoway/ops/pathtable_test.py
+++ b/pimentoway/ops/pathtable_test.py
@@ -214,6 +214,15 @@
     assert not watch.table.has_faults()
 
 
+def test_few_paths_of_a_node_are_kept() -> None:
+    """A node can have more back ends than paths that are worth their memory."""
+    watch = Watch('n1', 'n2')
+    for number in range(pathrecord.MAX_PATHS + 9):
+        watch.fail('n1', f'e{number}', REFUSED)
+    assert watch.check('n1', 'e8') is Standing.open
+    assert watch.check('n1', 'e9') is Standing.closed
+
+
 def test_paths_open_again_by_few_probes() -> None:
     """A lost node tries one path a second, or one that it has checked."""
     watch = Watch('n1', 'n2')
--- a/pimentoway/ops/relaytable.py
+++ b/pimentoway/ops/relaytable.py
@@ -38,7 +38,7 @@
     Attributes:
         requester: The node's name and the identifier of this run of it.
         avoided: The names of the back ends that must not get the request.
-        is_limited: Whether any path of any node may not be open.
+        is_limited: Whether any path of the node may not be open.
     """
 
     def __init__(
@@ -54,13 +54,14 @@
             requester: The node's name and the identifier of this run of it.
             avoided: The names of the back ends that must not get the request.
         """
-        self.is_limited = relays.paths.has_faults()
+        self._node = pathtable.name_node(requester)
+        self.is_limited = relays.paths.has_faults_of(self._node)
         self._relays = relays
         self.avoided = avoided
         self.requester = requester
         self._usable: list[deployment.Peer] | None = None
+        self._has_open_relay: bool | None = None
         if self.is_limited:
-            self._node = pathtable.name_node(requester)
             self._paths = relays.paths.find(self._node)
 
     def measure_wait(self, state: enginestate.EngineState) -> float:
@@ -92,9 +93,9 @@
         is_avoided = name in self.avoided
         if is_avoided and not self._paths.find_blamed(name):
             return False
-        if self.is_direct(state):
+        if self.reaches_all():
             return True
-        return any(
+        return self.is_direct(state) or any(
             self._relays.reaches(peer, state.engine)
             for peer in self._list_usable()
         )
@@ -158,9 +159,27 @@
             ),
         ).name
 
+    def reaches_all(self) -> bool:
+        """Tell whether the node reaches all back ends that want its requests.
+
+        Returns:
+            Whether it has no lost paths, or a relay that has none; checks of
+            each path are needless then.
+        """
+        if not self.is_limited:
+            return True
+        if self._has_open_relay is None:
+            self._has_open_relay = not self._relays.notices.has_pauses() and (
+                any(
+                    not self._relays.paths.has_faults_of(peer.name)
+                    for peer in self._relays.find_usable(self._node)
+                )
+            )
+        return self._has_open_relay
+
     def _list_usable(self) -> list[deployment.Peer]:
         if self._usable is None:
-            self._usable = self._relays.list_usable(self._node)
+            self._usable = list(self._relays.find_usable(self._node))
         return self._usable
 
 
@@ -194,22 +213,22 @@
         # By node and relay.
         self._pause_by_pair: dict[tuple[str, str], _Pause] = {}
 
-    def list_usable(self, node: str) -> list[deployment.Peer]:
-        """List the nodes that may relay a node's requests.
+    def find_usable(
+        self, node: str
+    ) -> collections.abc.Iterator[deployment.Peer]:
+        """Find the nodes that may relay a node's requests.
 
         Args:
             node: The name of the node.
 
-        Returns:
+        Yields:
             The registered nodes at this broker that can relay, have paths to
             back ends and relay less than ``MAX_RELAYED_REQUESTS``.
         """
         peers = self.view.peers_by_name
-        return [
-            peers[name]
-            for name in self.paths.requester_by_attached
-            if name in peers and self._is_usable(node, peers[name])
-        ]
+        for name in self.paths.requester_by_attached:
+            if name in peers and self._is_usable(node, peers[name]):
+                yield peers[name]
 
     def reaches(self, peer: deployment.Peer, engine: deployment.Engine) -> bool:
         """Tell whether a node may relay requests to a back end.
@@ -224,6 +243,8 @@
         requester = self.paths.requester_by_attached[peer.name]
         if self.notices.measure_pause(requester, engine):
             return False
+        if not self.paths.has_faults_of(peer.name):
+            return True
         standing = self.paths.find(peer.name).check(engine.name)
         return standing is pathrecord.Standing.open
 
--- a/pimentoway/ops/relaytable_test.py
+++ b/pimentoway/ops/relaytable_test.py
@@ -177,11 +177,11 @@
             request = nodes.submit('n0')
             nodes.report('n0', request.number, outcome)
         paused_loop.advance(pause - 0.1)
-        assert [peer.name for peer in engines.relays.list_usable('n0')] == [
+        assert [peer.name for peer in engines.relays.find_usable('n0')] == [
             'n2'
         ]
         paused_loop.advance(0.2)
-        assert len(engines.relays.list_usable('n0')) == 2
+        assert len(list(engines.relays.find_usable('n0'))) == 2
     assert [grant.via for _, grant in nodes.grants[:2]] == ['n1', 'n2']
 
 
--- a/pimentoway/tools/path_guard.py
+++ b/pimentoway/tools/path_guard.py
@@ -67,6 +67,13 @@
         '        if self.requester_by_attached:\n',
         _TABLE_TEST,
     ),
+    guard_text.Guard(
+        'few paths of a node are kept',
+        _RECORD,
+        '        if len(self.path_by_engine) > MAX_PATHS:\n',
+        _NEVER,
+        _TABLE_TEST,
+    ),
     guard_text.Guard(
         'a lost node tries one path a second',
         _RECORD,
