Let connections of the own interface outlast a silence, too

Connections to back ends of the own interface ended after two seconds without an answer of the back end's kernel, as those to the platform did until lately; answers that can't be resumed were lost.

--- a/pimentoway/backends/exchange.py
+++ b/pimentoway/backends/exchange.py
@@ -263,6 +263,7 @@
         gap_seconds=link.gap_seconds,
         deadline=req.deadline,
         exclusive=True,
+        silence_seconds=connection.BACKEND_SILENCE_SECONDS,
     )
 
 
--- a/pimentoway/backends/exchange_process_test.py
+++ b/pimentoway/backends/exchange_process_test.py
@@ -278,3 +278,20 @@
         read_answer(configuration.Engine, peer, pool)
     pieces = read_answer(configuration.Engine, peer, pool)
     assert [piece.sequence for piece in pieces] == [1, 2, 3]
+
+
+# Guards against answers that break off because the machine of their back end
+# stood still for two seconds.
+def test_connection_outlasts_a_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """No socket option ends it within the silence of a sound back end."""
+    silences = []
+    monkeypatch.setattr(
+        connection,
+        'set_socket_options',
+        lambda sock, seconds: silences.append(seconds),
+    )
+    answer = b'%sConnection: close\r\n\r\n%s' % (HEAD, b''.join(EVENTS))
+    read_answer(configuration.Engine, ClosingBackend(answer))
+    assert silences == [connection.BACKEND_SILENCE_SECONDS]
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -69,6 +69,8 @@
         exclusive: Whether no other call uses the connection, before or after
             this one. The answer's head names no request, so it can't be told
             from a late copy of another answer.
+        silence_seconds: The time after which a new connection ends if the
+            peer's kernel is silent.
     """
 
     address: str
@@ -81,6 +83,7 @@
     gap_seconds: float = 10
     deadline: float = math.inf
     exclusive: bool = False
+    silence_seconds: int = SILENCE_SECONDS
 
     def compute_read_timeout(self) -> float:
         """Compute the timeout of the next read of the answer's body.
@@ -331,7 +334,7 @@
             if recent and not is_readable(sock):
                 return sock
             sock.close()
-        return connect(call.address, call.connect_seconds)
+        return connect(call.address, call.connect_seconds, call.silence_seconds)
 
 
 def is_readable(sock: gevent_socket.socket) -> bool:
