--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -3,6 +3,7 @@
 from pimentoway.tools import guard_text
 
 _SILENCE = 'pimentoway/platform/silent_process_test.py'
+_HANDOVER = 'pimentoway/callers/handover_test.py'
 _REAL = 'real'
 
 GUARDS = (
@@ -58,4 +59,81 @@
         _SILENCE,
         _REAL,
     ),
+    guard_text.Guard(
+        'the end of a node ends a request that is offered',
+        'callers/backend_attempt.py',
+        '_CUT_ERRORS = (error.FailedError, error.OutcomeUnknownError)',
+        '_CUT_ERRORS = error.PimentowayError',
+        _SILENCE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'sending an offer is bounded',
+        'callers/handover.py',
+        'attempt.offer(self._offered_at + SEND_SECONDS)',
+        'attempt.offer(self._offered_at + 60)',
+        _SILENCE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'another run goes on after a late failure',
+        'callers/exchange.py',
+        '        return self.handover.has_attempt()\n',
+        '        return False\n',
+        _SILENCE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'comments hold no stream',
+        'callers/backend_attempt.py',
+        '                self._exchange.note_no_event()\n',
+        '                pass\n',
+        _SILENCE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a hand-over is released without a wait',
+        'callers/handover.py',
+        'self._task.kill(block=False)',
+        'self._task.kill()',
+        _HANDOVER,
+    ),
+    guard_text.Guard(
+        'an attempt that is prepared too late is closed',
+        'callers/handover.py',
+        '        if self._task is gevent.getcurrent():\n',
+        '        if self._task is not self:\n',
+        _HANDOVER,
+    ),
+    guard_text.Guard(
+        'a pause of the process closes no link',
+        'nodes/link.py',
+        '            self._sock.settimeout(LAST_WAIT_SECONDS)\n',
+        '            raise\n',
+        'pimentoway/nodes/link_process_test.py',
+        _REAL,
+    ),
+    guard_text.Guard(
+        'the rest of a request is read after a pause',
+        'callers/connection.py',
+        '<= 0 and not connection.is_readable(self._sock):\n            raise',
+        '<= 0:\n            raise',
+        'pimentoway/platform/unanswered_process_test.py',
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a silent back end has not crashed',
+        'ops/dispatch.py',
+        '            return isinstance(fault.__cause__, ConnectionError)\n',
+        '            return True\n',
+        'pimentoway/ops/dispatch_test.py',
+    ),
+    guard_text.Guard(
+        'answers of the own interface outlast a silence',
+        'backends/exchange.py',
+        '        silence_seconds=connection.BACKEND_SILENCE_SECONDS,\n',
+        '',
+        'pimentoway/backends/exchange_process_test.py',
+        _REAL,
+    ),
 )
