Return no quota for a repeat that was never charged

Only the first run of a request is charged to its customer's quota, but a repeat that was withdrawn, or whose grant was not used, was refunded. Since a silent back end keeps its run while another one is looked for, that happens with each silence: the customer got more than its quota.

The test failed before: a request beyond the quota was admitted.

--- a/pimentoway/ops/admit.py
+++ b/pimentoway/ops/admit.py
@@ -150,8 +150,10 @@
         """Return the quota of a request that did not run.
 
         Args:
-            request: The slot request.
+            request: The slot request; a repeat was not charged.
         """
+        if request.repeats:
+            return
         self._quotas.refund(request.customer, request.cost)
 
     def charge(self, usage: slot.QuotaUsage) -> None:
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -136,4 +136,11 @@
         'pimentoway/backends/exchange_process_test.py',
         _REAL,
     ),
+    guard_text.Guard(
+        'a withdrawn repeat returns no quota',
+        'ops/admit.py',
+        '        if request.repeats:\n            return\n',
+        '',
+        'pimentoway/ops/admit_test.py',
+    ),
 )
