Relay requests between nodes: frames, server and client

A node that has lost its paths to the back ends answers its callers 503, however idle the back ends are: it knows no way but its own connection.

A node can now ask another one to send a request to a back end. One TCP connection, apart from the links, carries one request: Open, Opened or Denied, then Dispatch and the body, then the back end's bytes as they come. The relay writes the head itself with the time that is left, uses its own connections and its notices, and reads no faster than the node does. The node's side is a Channel, so foreign and late answers are judged by the same code. Nothing uses it yet.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -6,6 +6,11 @@
 """
 
 import collections
+import contextlib
+
+import gevent
+from gevent import event as gevent_event
+from gevent import socket as gevent_socket
 
 from pimentoway.core import call, clock, connection, error, message
 
@@ -33,6 +38,11 @@
 #: Maximum idle connections for one back end.
 MAX_IDLE_CHANNELS = 12
 
+_READ_EVENT = 1
+
+
+ReceiveHandler = collections.abc.Callable[[bytes], None]
+
 
 class SilentError(error.ConnectionLostError):
     """The back end neither sent nor read bytes before the deadline."""
@@ -48,10 +58,16 @@
         idle_since: The monotonic time at which it became idle; 0 before its
             first response is complete.
         idle_seconds: Seconds for which it may stay idle.
+        on_received: Called with all bytes before they are parsed; ``None`` for
+            nothing.
     """
 
     def __init__(
-        self, engine: str, address: str, dialect: call.Dialect
+        self,
+        engine: str,
+        address: str,
+        dialect: call.Dialect,
+        sock: gevent_socket.socket | None = None,
     ) -> None:
         """Connect, within `CONNECT_SECONDS`.
 
@@ -59,6 +75,7 @@
             engine: The name of the back end.
             address: Its IP address and port.
             dialect: Decodes the metadata in the headers of responses.
+            sock: A connection that was opened before; ``None`` to open one.
         """
         self.engine = engine
         self.address = address
@@ -68,7 +85,18 @@
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self._reader = message.AnswerReader()
         self._closed_by_peer = False
-        self._sock = connection.connect(address, CONNECT_SECONDS)
+        self.on_received: ReceiveHandler | None = None
+        self._sock = sock or connection.connect(address, CONNECT_SECONDS)
+
+    def send_request(self, dispatch: call.Dispatch, deadline: float) -> None:
+        """Send a request, as ``send`` does.
+
+        Args:
+            dispatch: The request.
+            deadline: The monotonic time at which sending is given up.
+        """
+        head = self._dialect.write_request(dispatch)
+        self.send(b'%s%s' % (head, dispatch.request.body), deadline)
 
     def send(self, payload: bytes, deadline: float) -> None:
         """Send a request; stop early if the back end already responds.
@@ -149,13 +177,29 @@
             return joined
         return b''
 
-    def has_no_input(self) -> bool:
-        """Check that nothing, not even a close, came on the idle connection.
+    def has_input(self) -> bool:
+        """Tell whether anything, or a close, has arrived and was not read.
+
+        Returns:
+            Whether it has; an idle connection may then carry no request.
+        """
+        return connection.is_readable(self._sock)
+
+    def is_acknowledged(self) -> bool:
+        """Tell whether the peer's kernel has received all that was sent.
 
         Returns:
-            Whether the connection may carry a request.
+            Whether it has acknowledged every byte.
         """
-        return not connection.is_readable(self._sock)
+        return not connection.count_unacknowledged(self._sock)
+
+    def fileno(self) -> int:
+        """Return the file descriptor of the socket.
+
+        Returns:
+            The descriptor.
+        """
+        return self._sock.fileno()
 
     def reset_for_reuse(self, response: message.Answer) -> bool:
         """Prepare the connection for the next request if it may be reused.
@@ -183,6 +227,14 @@
         """Close the connection, which makes the back end stop its work."""
         self._sock.close()
 
+    def abort(self) -> None:
+        """End reads and writes that wait; the connection must still be closed.
+
+        The back end stops its work. This does not block.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(gevent_socket.SHUT_RDWR)
+
     def _is_own(self, named: str, request_id: str) -> bool:
         if named:
             return named == request_id
@@ -229,8 +281,13 @@
         except OSError as fault:
             raise self._make_cut_error(fault) from fault
         if received:
+            if self.on_received:
+                self.on_received(received)
             self._reader.feed(received)
             return
+        self._note_end()
+
+    def _note_end(self) -> None:
         self._closed_by_peer = True
         self._reader.end()
         if not self._is_last_response_complete():
@@ -248,6 +305,30 @@
         )
 
 
+def wait_for_input(
+    channels: collections.abc.Iterable[Channel],
+    wake: gevent_event.Event,
+    deadline: float,
+) -> None:
+    """Wait until a connection has input, an event is set, or time is over.
+
+    Args:
+        channels: The connections.
+        wake: The event; it is also set by input.
+        deadline: The monotonic time at which waiting ends.
+    """
+    loop = gevent.get_hub().loop
+    watchers = [loop.io(channel.fileno(), _READ_EVENT) for channel in channels]
+    try:
+        for watcher in watchers:
+            watcher.start(wake.set)
+        wake.wait(max(0, deadline - clock.read_monotonic()))
+    finally:
+        for ended in watchers:
+            ended.stop()
+            ended.close()
+
+
 class ChannelPool:
     """The connections to all back ends.
 
@@ -290,7 +371,11 @@
             channel = idle.pop()
             idle_seconds = now - channel.idle_since
             usable = idle_seconds < min(channel.idle_seconds, max_idle_seconds)
-            if usable and channel.address == address and channel.has_no_input():
+            if (
+                usable
+                and channel.address == address
+                and not channel.has_input()
+            ):
                 return channel
             self.discard(channel)
         channel = Channel(engine, address, self._dialect)
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -7,9 +7,12 @@
 
 import collections
 import dataclasses
+import fcntl
 import math
 import select
 import socket
+import sys
+import termios
 
 from gevent import monkey
 from gevent import socket as gevent_socket
@@ -48,6 +51,9 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
 
+#: The size of a counter that the kernel returns, a C int.
+COUNTER_BYTES = 4
+
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -347,6 +353,21 @@
     return bool(poller.poll(0))
 
 
+def count_unacknowledged(sock: gevent_socket.socket) -> int:
+    """Count the sent bytes that the peer's kernel has not acknowledged.
+
+    Args:
+        sock: The connection.
+
+    Returns:
+        The number of bytes.
+    """
+    return int.from_bytes(
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(COUNTER_BYTES)),
+        sys.byteorder,
+    )
+
+
 def wait_until_writable(sock: gevent_socket.socket, seconds: float) -> bool:
     """Wait until a connection accepts more bytes.
 
@@ -376,12 +397,15 @@
         sock.setsockopt(level, option, setting)
 
 
-def connect(address: str, seconds: float) -> gevent_socket.socket:
+def connect(
+    address: str, seconds: float, source: str = ''
+) -> gevent_socket.socket:
     """Connect to a peer.
 
     Args:
         address: The peer, as ``ip:port``.
         seconds: The timeout.
+        source: The own IP address that the peer sees; '' for any.
 
     Returns:
         The connection, with ``SOCKET_OPTIONS`` set.
@@ -391,7 +415,9 @@
     """
     host, _, port = address.rpartition(':')
     try:
-        sock = gevent_socket.create_connection((host, int(port)), seconds)
+        sock = gevent_socket.create_connection(
+            (host, int(port)), seconds, (source, 0) if source else None
+        )
     except (OSError, ValueError) as fault:
         raise error.ConnectError(
             f'no connection: {fault}',
--- a/pimentoway/core/metric.py
+++ b/pimentoway/core/metric.py
@@ -72,6 +72,18 @@
     ['notice'],
 )
 
+RELAY_REQUESTS = prometheus_client.Counter(
+    'pimentoway_relay_requests',
+    'Requests that this node relayed for other nodes, by how they ended.',
+    ['end'],
+)
+
+RELAY_BYTES = prometheus_client.Counter(
+    'pimentoway_relay_bytes',
+    'Bytes of the requests and answers that this node relayed.',
+    ['direction'],
+)
+
 SLOT_DECISIONS = prometheus_client.Counter(
     'pimentoway_slot_decisions',
     'Slots granted and refused by this broker, by tier and by the estimated '
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -152,7 +152,7 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-def encode(message: Message) -> bytes:
+def encode(message: msgspec.Struct) -> bytes:
     """Encode a message as a frame.
 
     Args:
@@ -300,11 +300,22 @@
 class FrameReader:
     """Splits a stream of bytes into messages."""
 
-    def __init__(self) -> None:
-        """Start with an empty buffer."""
+    def __init__(
+        self,
+        decoder: msgspec.msgpack.Decoder = _DECODER,
+        max_bytes: int = MAX_FRAME_BYTES,
+    ) -> None:
+        """Start with an empty buffer.
+
+        Args:
+            decoder: Decodes a message.
+            max_bytes: The largest message, in bytes.
+        """
+        self._decoder = decoder
+        self._max_bytes = max_bytes
         self._buffer = bytearray()
 
-    def feed(self, block: bytes) -> list[Message]:
+    def feed(self, block: bytes) -> list:
         """Add received bytes and decode the frames that are complete.
 
         Args:
@@ -322,24 +333,23 @@
         while len(self._buffer) - start >= LENGTH_BYTES:
             body_start = start + LENGTH_BYTES
             size = int.from_bytes(self._buffer[start:body_start], 'big')
-            if size > MAX_FRAME_BYTES:
+            if size > self._max_bytes:
                 raise error.NodeError('a frame is too large', 'decode')
             if len(self._buffer) < body_start + size:
                 break
             start = body_start + size
-            messages.append(_decode(bytes(self._buffer[body_start:start])))
+            messages.append(self._decode(self._buffer[body_start:start]))
         # The rest is copied once per block, not once per message.
         self._buffer = self._buffer[start:]
         return messages
 
-
-def _decode(encoded: bytes) -> Message:
-    try:
-        return _DECODER.decode(encoded)
-    except codec.DECODING_ERRORS as fault:
-        raise error.NodeError(
-            f'cannot decode a message: {fault}', 'decode'
-        ) from fault
+    def _decode(self, encoded: bytearray) -> object:
+        try:
+            return self._decoder.decode(encoded)
+        except codec.DECODING_ERRORS as fault:
+            raise error.NodeError(
+                f'cannot decode a message: {fault}', 'decode'
+            ) from fault
 
 
 def _encode_changes(
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -18,6 +18,7 @@
     input_guard,
     notice_guard,
     recovery_guard,
+    relay_guard,
 )
 
 #: Number of copies tested in parallel.
@@ -50,6 +51,7 @@
     *input_guard.GUARDS,
     *notice_guard.GUARDS,
     *recovery_guard.GUARDS,
+    *relay_guard.GUARDS,
     guard_text.Guard(
         'claim before dispatch',
         'ops/claimlog.py',
