--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -40,7 +40,6 @@
 
 _READ_EVENT = 1
 
-
 ReceiveHandler = collections.abc.Callable[[bytes], None]
 
 
