Serve callers of a node without paths through another node

A node whose connections to the back ends fail answered 503, as a grant could only be used by a connection of its own.

A grant may now name a relay (via): the attempt then gets its connection there, by the same interface as from the pool. A relay that takes no request is reported as relay_lost and the request, not run, asks for another slot; one that dies after the send leaves the outcome unknown and blames no back end. Crashes are told from cuts at the relay, which alone can connect. A pause that the relay heard holds for the relay. A back end that a node can't connect to is not avoided at once where other nodes relay. Nodes listen for requests of others on the third internal port, register it, and finish relayed requests before they end.

The two checks of slotclient_test read the engine from the grant that acquire_slot now returns.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -105,6 +105,7 @@
             The outcome of the request, for the log and the metrics.
         """
         self._context.engine_name = self._exchange.engine.name
+        self._context.relay_name = self._exchange.via
         try:
             return self._send_and_forward()
         except attempt_error.HandedOverError:
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -12,6 +12,7 @@
     request_context,
 )
 from pimentoway.core import call, clock, deployment, error, log, message
+from pimentoway.nodes import relaychannel
 from pimentoway.ops import slot, slotclient
 
 #: Seconds without an event after which another back end is looked for that
@@ -33,6 +34,7 @@
 
 _LOG = log.Log('attempt')
 
+_Pool = channel.ChannelPool | relaychannel.RelayRoute
 _Read = collections.abc.Callable[[float], bytes | None]
 
 
@@ -46,6 +48,7 @@
         dialect: Decodes and encodes the platform's HTTP headers.
         liveness_checker: Tells crashes from broken connections.
         notices: Reports what back ends announce of themselves.
+        relays: Finds the nodes that relay requests.
     """
 
     slots: slotclient.SlotClient
@@ -53,6 +56,7 @@
     dialect: call.Dialect
     liveness_checker: liveness.LivenessChecker
     notices: notice_reader.NoticeReader
+    relays: relaychannel.RelayClient
 
 
 class Exchange:
@@ -67,6 +71,7 @@
         first_event_seconds: The time from the start to the first event or to
             a complete response; 0 before that.
         handover: Looks for another back end while this one is silent.
+        via: The node that relays the request; '' for none.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         slot_request: slot.SlotRequest,
         engine: deployment.Engine,
         prepare_next: handover.Prepare,
+        via: str = '',
     ) -> None:
         """Start the clock; nothing is sent yet.
 
@@ -85,6 +91,7 @@
             slot_request: The slot request that was granted.
             engine: The back end that the grant names.
             prepare_next: Prepares an attempt at another back end.
+            via: The name of the node that relays the request; '' for none.
         """
         self.engine = engine
         self.conn: channel.Channel | None = None
@@ -93,6 +100,8 @@
         self.outcome = slot.Outcome.unused
         self.first_event_seconds: float = 0
         self.handover = handover.Handover(prepare_next, context.may_retry)
+        self.via = via
+        self._pool: _Pool = dependencies.channels
         self._dependencies = dependencies
         self._context = context
         self._slot_request = slot_request
@@ -103,18 +112,18 @@
     def connect(self) -> None:
         """Connect to the back end, or report to the broker if that fails.
 
-        A failure to connect is raised as ``RetryError``.
+        Raises:
+            RetryError: If connecting failed.
         """
-        idempotent = self._context.route.idempotent
         try:
-            self.conn = self._dependencies.channels.acquire(
-                self.engine.name,
-                self.engine.address,
-                math.inf if idempotent else UNSAFE_MAX_IDLE_SECONDS,
-            )
+            self.conn = self._acquire()
+        except relaychannel.RelayError as lost:
+            # The next grant names another relay.
+            self.outcome = slot.Outcome.relay_lost
+            raise attempt_error.RetryError from lost
         except error.ConnectError as fault:
             self.outcome = slot.Outcome.unreachable
-            raise self.make_retry() from fault
+            raise self._make_path_retry() from fault
         finally:
             if self.conn is None:
                 self._report()
@@ -129,16 +138,13 @@
             timeout_seconds=context.deadline - clock.read_monotonic(),
             after_event=context.event_splitter.last_id,
         )
-        head = self._dependencies.dialect.write_request(dispatch)
         context.sends += 1
         context.possible_runs += 1
         self.outcome = slot.Outcome.abandoned
         self._events_before = context.event_splitter.count
         self._progressed_at = clock.read_monotonic()
         try:
-            self.conn.send(
-                b'%s%s' % (head, context.request.body), context.deadline
-            )
+            self.conn.send_request(dispatch, context.deadline)
         except error.ConnectionLostError as fault:
             raise self.handle_cut(fault) from fault
 
@@ -219,8 +225,11 @@
         silent = isinstance(fault, channel.SilentError)
         self.outcome = slot.Outcome.silent if silent else slot.Outcome.cut
         context = self._context
-        if not silent:
-            self._check_crash()
+        if isinstance(fault, relaychannel.RelayBrokenError):
+            # That is no fault of the back end.
+            self.outcome = slot.Outcome.abandoned
+        elif not silent:
+            self._check_crash(fault)
         if self.handover.has_attempt():
             return attempt_error.HandedOverError()
         if context.may_retry() and clock.read_monotonic() < context.deadline:
@@ -240,7 +249,7 @@
             The exception to raise.
         """
         # One that wants no requests now may get this one later.
-        if self._dependencies.slots.may_use(self.engine):
+        if not self._is_paused():
             self._context.avoid(self.engine.name)
         return attempt_error.RetryError()
 
@@ -249,21 +258,54 @@
         self.handover.stop()
         # Closing the connection makes the back end cancel the request.
         if self.response is not None and self.response.complete:
-            self._dependencies.channels.release(
-                self.conn, self.response, self.metadata
-            )
+            self._pool.release(self.conn, self.response, self.metadata)
         else:
-            self._dependencies.channels.discard(self.conn)
+            self._pool.discard(self.conn)
         self._report()
 
+    def _acquire(self) -> channel.Channel:
+        context = self._context
+        if self.via:
+            self._pool = self._dependencies.relays.find_route(
+                self.via, len(context.request.body)
+            )
+        return self._pool.acquire(
+            self.engine.name,
+            self.engine.address,
+            math.inf if context.route.idempotent else UNSAFE_MAX_IDLE_SECONDS,
+        )
+
+    def _make_path_retry(self) -> attempt_error.RetryError:
+        # A node that can't connect may reach the back end through another one,
+        # which the broker knows.
+        context = self._context
+        name = self.engine.name
+        relayed = self.via or name in context.unreachable
+        context.unreachable = (*context.unreachable, name)
+        if relayed or not self._dependencies.relays.has_relay():
+            return self.make_retry()
+        return attempt_error.RetryError()
+
+    def _is_paused(self) -> bool:
+        if self.via:
+            notices = self.metadata.notices if self.metadata else call.Notices()
+            return notices.pause_seconds > 0
+        return not self._dependencies.slots.may_use(self.engine)
+
     def _read_head(self, deadline: float) -> None:
         request_id = self._context.request.request_id
         response, metadata = self.conn.read_head(request_id, deadline)
         self.response = response
         self.metadata = metadata
-        self._dependencies.notices.read(self.engine, metadata.notices)
+        self._read_notices(metadata.notices)
         self._context.framing = response.framing
 
+    def _read_notices(self, notices: call.Notices) -> None:
+        if self.via:
+            # The relay has heard the pause, which holds for it.
+            notices = dataclasses.replace(notices, pause_seconds=0)
+        self._dependencies.notices.read(self.engine, notices)
+
     def _read_body_part(self, deadline: float) -> bytes:
         return self.conn.read_body_part(self.response, deadline)
 
@@ -313,17 +355,22 @@
             left=round(self._context.deadline - now, 3),
         )
 
-    def _check_crash(self) -> None:
+    def _check_crash(self, fault: error.ConnectionLostError) -> None:
         # Only crashes count as evidence against parts of a prompt.
         if not self._context.request.shared_parts:
             return
-        if self._dependencies.liveness_checker.has_crashed(self.engine):
+        if self._has_crashed(fault):
             self.outcome = slot.Outcome.crashed
             self._context.crashed_engines = (
                 *self._context.crashed_engines,
                 self.engine.name,
             )
 
+    def _has_crashed(self, fault: error.ConnectionLostError) -> bool:
+        if self.via:
+            return isinstance(fault, relaychannel.CrashedError)
+        return self._dependencies.liveness_checker.has_crashed(self.engine)
+
     def _report(self) -> None:
         load = self.metadata.load if self.metadata else None
         cold = self.metadata.cold_seconds if self.metadata else None
--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -29,6 +29,7 @@
     message,
     metric,
 )
+from pimentoway.nodes import relaychannel
 from pimentoway.ops import slot, slotclient, view
 
 #: The timeout, in seconds, of a request whose route and caller set none.
@@ -59,6 +60,7 @@
     Attributes:
         active: The requests that are being served.
         drain_limit: The time that requests get while the node drains.
+        dependencies: What the attempts use.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         slots: slotclient.SlotClient,
         channels: channel.ChannelPool,
         dialect: call.Dialect,
+        relays: relaychannel.RelayClient,
     ) -> None:
         """Use the given components of the node.
 
@@ -78,6 +81,7 @@
             slots: The client that requests slots from the broker.
             channels: The connections to back ends.
             dialect: Decodes and encodes the platform's HTTP headers.
+            relays: Finds the nodes that relay requests.
         """
         self.active = 0
         self.drain_limit = drain.DrainLimit()
@@ -87,7 +91,7 @@
         self._slots = slots
         self._dialect = dialect
         notices = notice_reader.NoticeReader(slots, dialect)
-        self._dependencies = exchange.Dependencies(
+        self.dependencies = exchange.Dependencies(
             slots,
             channels,
             dialect,
@@ -95,6 +99,7 @@
                 dialect.liveness_probe, slots.may_use, notices.read_answer
             ),
             notices,
+            relays,
         )
 
     def read_limits(self) -> deployment.CallerLimits:
@@ -239,17 +244,21 @@
     def _prepare_attempt(
         self, context: request_context.RequestContext
     ) -> backend_attempt.BackendAttempt:
-        slot_request, engine = self._request_slot(context)
+        slot_request, grant = self._request_slot(context)
         self._check_deadline(context, slot_request)
+        engine = self._find_engine(grant)
         if engine is None:
+            # The broker can know less of the back end than this node does.
+            context.avoid(grant.engine)
             self._report_unused(slot_request)
             raise attempt_error.RetryError
         started = exchange.Exchange(
-            self._dependencies,
+            self.dependencies,
             context,
             slot_request,
             engine,
             functools.partial(self._prepare_attempt, context),
+            grant.via,
         )
         started.connect()
         return backend_attempt.BackendAttempt(context, started)
@@ -273,7 +282,7 @@
 
     def _request_slot(
         self, context: request_context.RequestContext
-    ) -> tuple[slot.SlotRequest, deployment.Engine | None]:
+    ) -> tuple[slot.SlotRequest, slot.Grant]:
         now = clock.read_monotonic()
         token_counts = context.request.token_counts or call.TokenCounts()
         customer = context.customer
@@ -300,14 +309,18 @@
             *context.slot_request_numbers,
             slot_request.number,
         )
-        name = self._slots.acquire_slot(slot_request)
+        grant = self._slots.acquire_slot(slot_request)
         context.queue_seconds += clock.read_monotonic() - now
-        engine = self._view.engines_by_name.get(name)
-        if engine is None or not self._slots.may_use(engine):
-            # The broker can know less of the back end than this node does.
-            context.avoid(name)
-            return slot_request, None
-        return slot_request, engine
+        return slot_request, grant
+
+    def _find_engine(self, grant: slot.Grant) -> deployment.Engine | None:
+        engine = self._view.engines_by_name.get(grant.engine)
+        if engine is None:
+            return None
+        if grant.via:
+            # Whether it wants requests of the relay is checked there.
+            return engine if self._slots.is_usable(engine) else None
+        return engine if self._slots.may_use(engine) else None
 
     def _log_refused(
         self, request: call.CallerRequest, fault: error.PimentowayError
@@ -350,6 +363,7 @@
             hinted=token_counts.hinted_tokens,
             parts=[f'{part:x}' for part in context.request.shared_parts],
             engine=context.engine_name,
+            via=context.relay_name,
             crashed=context.crashed_engines,
             avoided=context.avoided,
             runs=context.possible_runs,
--- a/pimentoway/callers/request_context.py
+++ b/pimentoway/callers/request_context.py
@@ -25,6 +25,7 @@
         deadline: When the node gives up on it.
         writer: Writes the response to the caller.
         avoided: The back ends that must not be granted for it again.
+        unreachable: The back ends to which no connection could be opened.
         crashed_engines: Those of them that crashed while they ran it.
         sends: How often it was sent to a back end.
         possible_runs: The sends after which a back end may have run it.
@@ -38,6 +39,7 @@
         first_event_seconds: The time from arrival to the first event or to a
             complete response; 0 before that.
         engine_name: The back end that it was last assigned to.
+        relay_name: The node that relayed it there; '' if none did.
         slot_request_numbers: The numbers of its slot requests, which the log
             lines of the broker carry.
     """
@@ -50,6 +52,7 @@
     deadline: float
     writer: response_writer.ResponseWriter
     avoided: tuple[str, ...] = ()
+    unreachable: tuple[str, ...] = ()
     crashed_engines: tuple[str, ...] = ()
     sends: int = 0
     possible_runs: int = 0
@@ -61,6 +64,7 @@
     queue_seconds: float = 0
     first_event_seconds: float = 0
     engine_name: str = ''
+    relay_name: str = ''
     slot_request_numbers: tuple[int, ...] = ()
 
     def may_retry(self) -> bool:
--- a/pimentoway/core/nodesetting.py
+++ b/pimentoway/core/nodesetting.py
@@ -59,6 +59,8 @@
         descriptors: The limit of open file descriptors of the process.
         zones: The names of all failure domains.
         bounds: The service levels of the deployment.
+        relay: The address for requests that other nodes have relayed; '' to
+            relay none.
     """
 
     name: str
@@ -75,3 +77,4 @@
     descriptors: int
     zones: tuple[str, ...]
     bounds: Bounds
+    relay: str = ''
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -154,15 +154,15 @@
         """
         return next(self._numbers)
 
-    def acquire_slot(self, request: slot.SlotRequest) -> str:
+    def acquire_slot(self, request: slot.SlotRequest) -> slot.Grant:
         """Request a slot and wait for the reply.
 
         Args:
             request: The slot request, numbered by ``make_number``.
 
         Returns:
-            The name of the back end. A refusal, and a reply that doesn't come
-            before the deadline, are raised as errors of a request not run.
+            The grant. A refusal, and a reply that doesn't come before the
+            deadline, are raised as errors of a request not run.
         """
         number = request.number
         pending = _Pending(
@@ -181,8 +181,8 @@
             self._pending_by_number.pop(number, None)
             if not granted:
                 self._withdraw(pending)
-        self._note_grant(request, reply.engine)
-        return reply.engine
+        self._note_grant(request, reply)
+        return reply
 
     def report(self, report: slot.Report) -> None:
         """Report the outcome of a grant to the broker.
@@ -235,6 +235,17 @@
         """
         return self._local.notices.allows(self.requester, engine)
 
+    def is_usable(self, engine: deployment.Engine) -> bool:
+        """Tell whether a back end may get requests, perhaps of other nodes.
+
+        Args:
+            engine: The back end.
+
+        Returns:
+            Whether it may, as far as the node itself knows.
+        """
+        return self._local.notices.is_usable(engine)
+
     def accept_reply(self, reply: slot.Grant | slot.Refusal) -> None:
         """Pass the broker's reply to the greenlet that awaits it.
 
@@ -325,9 +336,9 @@
         outcome = slot.Outcome.unused if answer else slot.Outcome.abandoned
         self.report(slot.Report(pending.request.number, outcome))
 
-    def _note_grant(self, request: slot.SlotRequest, engine: str) -> None:
+    def _note_grant(self, request: slot.SlotRequest, grant: slot.Grant) -> None:
         self._running_by_number[request.number] = slot.ActiveGrant(
-            request, engine
+            request, grant.engine, grant.via
         )
         self._add_usage(request, request.cost)
 
--- a/pimentoway/ops/slotclient_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -147,7 +147,7 @@
     pair.drops_messages = False
     pair.slots.switch_broker(None)
     gevent.idle()
-    assert task.get(timeout=1) == 'e0'
+    assert task.get(timeout=1).engine == 'e0'
 
 
 # Guards against slot requests that are never sent again after the broker has
@@ -170,7 +170,7 @@
     pair.slots.switch_broker(None)
     gevent.idle()
     assert isinstance(tasks[0].exception, error.NotRunError)
-    assert tasks[1].get(timeout=1) == 'e0'
+    assert tasks[1].get(timeout=1).engine == 'e0'
 
 
 def test_caller_that_leaves_withdraws_its_request() -> None:
--- a/pimentoway/platform/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -146,6 +146,7 @@
         self,
         *engines: scripted_engine.ScriptedEngine,
         memory_bytes: int = 0,
+        name: str = 'n1',
         **bounds: object,
     ) -> None:
         """Start a node on free ports of localhost.
@@ -153,13 +154,14 @@
         Args:
             *engines: The engines.
             memory_bytes: The memory of the node; 0 if it is not bounded.
+            name: The name of the node.
             **bounds: Fields of its bounds that replace the defaults.
         """
-        first = port.find_ports(4)
-        ports = list(range(first, first + 4))
+        first = port.find_ports(5)
+        ports = list(range(first, first + 5))
         addresses = [f'127.0.0.1:{number}' for number in ports]
         settings = nodesetting.NodeSettings(
-            name='n1',
+            name=name,
             zone='z',
             ip='127.0.0.1',
             front=addresses[0],
@@ -173,6 +175,7 @@
             descriptors=1000,
             zones=('z',),
             bounds=nodesetting.Bounds(**{'grace': 4, **bounds}),
+            relay=addresses[4],
         )
         platform = edge.Platform(FakeRegistry(), wire.DIALECT, lambda: settings)
         self.node = edge.EdgeNode(settings, platform)
--- a/pimentoway/platform/setting.py
+++ b/pimentoway/platform/setting.py
@@ -19,6 +19,9 @@
 #: The metrics port is the first internal port plus this offset.
 METRICS_PORT_OFFSET = 1
 
+#: So is the port for requests of other nodes that this one relays.
+RELAY_PORT_OFFSET = 2
+
 
 class _Pascal(msgspec.Struct, frozen=True, rename='pascal'):
     """Base of TOML tables whose keys are in Pascal case."""
@@ -151,9 +154,16 @@
         descriptors=raw.limits.max_fds,
         zones=tuple(raw.zones),
         bounds=_make_bounds(raw.bounds),
+        relay=_make_relay_address(raw),
     )
 
 
+def _make_relay_address(raw: _Settings) -> str:
+    first, last = raw.internal_ports
+    port = first + RELAY_PORT_OFFSET
+    return f'{raw.ip}:{port}' if port <= last else ''
+
+
 def _make_bounds(raw: _Bounds) -> nodesetting.Bounds:
     return nodesetting.Bounds(
         recovery_seconds=raw.contact_ms / MILLISECONDS,
--- a/pimentoway/platform/setting_test.py
+++ b/pimentoway/platform/setting_test.py
@@ -40,12 +40,19 @@
     settings = setting.decode_settings(TEXT.encode())
     assert settings.peers == '10.1.0.2:8229'
     assert settings.metrics == '10.1.0.2:7601'
+    assert settings.relay == '10.1.0.2:7602'
     assert settings.cores == 1
     assert settings.bounds.recovery_seconds == 3
     assert settings.bounds.quota_slack == 110000
     assert settings.zones == ('a', 'b')
 
 
+def test_node_without_a_third_port_relays_none() -> None:
+    """It may listen on its own ports only."""
+    text = TEXT.replace('7615', '7601')
+    assert not setting.decode_settings(text.encode()).relay
+
+
 @pytest.mark.parametrize(
     'text',
     [
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -23,7 +23,13 @@
     serving,
     task,
 )
-from pimentoway.nodes import election, frame, link
+from pimentoway.nodes import (
+    election,
+    frame,
+    link,
+    relaychannel,
+    requestrelay,
+)
 from pimentoway.ops import (
     broker,
     registrywatcher,
@@ -160,11 +166,15 @@
             self.slots,
             self._channels,
             platform.dialect,
+            relaychannel.RelayClient(
+                settings.name, settings.ip, self.view, platform.dialect
+            ),
         )
         self._callers: set[connection.CallerConnection] = set()
         self._body_budget = budget.ByteBudget(
             int(settings.memory_bytes * BODY_MEMORY_FRACTION)
         )
+        self._relay = self._make_relay()
         self._caller_server: gevent_server.StreamServer | None = None
         self._attached_time_by_peer: dict[str, float] = {}
         self.view.subscribe(self._on_view_change)
@@ -173,6 +183,8 @@
         """Listen on the ports and start the background tasks."""
         _LOG.write('starts.', name=self.settings.name, boot=self._boot)
         _serve_stream(self.settings.peers, self._links.handle)
+        if self.settings.relay:
+            _serve_stream(self.settings.relay, self._relay.handle)
         _serve_http(self.settings.ready, self._answer_ready)
         metrics = prometheus_client.make_wsgi_app()
         _serve_http(self.settings.metrics, metrics)
@@ -205,10 +217,12 @@
         """Close idle connections and wait for requests in progress.
 
         New connections are accepted for ``ACCEPT_SECONDS`` more. Requests that
-        take too long get error responses. Returns when no caller is connected,
-        or shortly before the grace period ends.
+        take too long get error responses. Returns when no caller is connected
+        and no other node's request is relayed, or shortly before the grace
+        period ends.
         """
         self.leaving = True
+        self._relay.leaving = True
         end = (
             clock.read_monotonic()
             + self.settings.bounds.grace
@@ -226,6 +240,7 @@
         self._caller_server.close()
         drain_limit.closed = True
         _close_callers(self._callers, drain_limit.end)
+        self._relay.finish(drain_limit.end)
         self._forwarder.interrupt()
         _close_callers(self._callers, end)
         _LOG.write('finished draining.', active=self._forwarder.active)
@@ -252,6 +267,20 @@
             'read the settings again; changes need a restart.', changed=changed
         )
 
+    def _make_relay(self) -> requestrelay.RequestRelay:
+        attempts = self._forwarder.dependencies
+        return requestrelay.RequestRelay(
+            requestrelay.Dependencies(
+                self.view,
+                self._channels,
+                self._platform.dialect,
+                self._body_budget,
+                self.slots.may_use,
+                attempts.notices.read,
+                attempts.liveness_checker.has_crashed,
+            )
+        )
+
     def _handle_caller(self, sock: object, address: tuple) -> None:
         if (
             len(self._callers)
@@ -408,6 +437,7 @@
             self.settings.zone,
             self.settings.peers,
             self.settings.cores,
+            self.settings.relay,
         )
         while not self.leaving:
             kind = registry.Kind.peers
--- a/pimentoway/tools/notice_guard.py
+++ b/pimentoway/tools/notice_guard.py
@@ -26,10 +26,7 @@
     guard_text.Guard(
         'a notice is heard with the head of an answer',
         'callers/exchange.py',
-        (
-            '        self._dependencies.notices.read('
-            'self.engine, metadata.notices)\n'
-        ),
+        '        self._read_notices(metadata.notices)\n',
         '',
         _NOTICES,
         _REAL,
@@ -53,8 +50,8 @@
     guard_text.Guard(
         'a node checks its grants with the notices',
         'callers/forward.py',
-        'if engine is None or not self._slots.may_use(engine):',
-        'if engine is None or not self._view.is_usable(engine):',
+        'return engine if self._slots.may_use(engine) else None',
+        'return engine if self._view.is_usable(engine) else None',
         _NOTICES,
         _REAL,
     ),
@@ -147,7 +144,7 @@
     guard_text.Guard(
         'a request that was turned away may return to the same back end',
         'callers/exchange.py',
-        '        if self._dependencies.slots.may_use(self.engine):\n',
+        '        if not self._is_paused():\n',
         '        if True:\n',
         _NOTICES,
         _REAL,
--- a/pimentoway/tools/relay_guard.py
+++ b/pimentoway/tools/relay_guard.py
@@ -3,6 +3,7 @@
 from pimentoway.tools import guard_text
 
 _RELAY = 'pimentoway/platform/relay_process_test.py'
+_RELAYED = 'pimentoway/platform/relayed_process_test.py'
 _REAL = 'real'
 
 GUARDS = (
@@ -78,6 +79,54 @@
         _RELAY,
         _REAL,
     ),
+    guard_text.Guard(
+        'an unreachable back end is left to a relay',
+        'callers/exchange.py',
+        '        if relayed or not self._dependencies.relays.has_relay():\n',
+        '        if True:\n',
+        _RELAYED,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a lost relay is not run',
+        'callers/exchange.py',
+        '        except relaychannel.RelayError as lost:\n',
+        '        except ZeroDivisionError as lost:\n',
+        _RELAYED,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a relay that dies is no fault of the back end',
+        'callers/exchange.py',
+        '        if isinstance(fault, relaychannel.RelayBrokenError):\n',
+        '        if False:\n',
+        _RELAYED,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a relay tells crashes from cuts',
+        'callers/exchange.py',
+        '            return isinstance(fault, relaychannel.CrashedError)\n',
+        '            pass\n',
+        _RELAYED,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a pause that a relay heard binds the relay',
+        'callers/exchange.py',
+        '            notices = dataclasses.replace(notices, pause_seconds=0)\n',
+        '            pass\n',
+        _RELAYED,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a draining node finishes relayed requests',
+        'tools/edge.py',
+        '        self._relay.finish(drain_limit.end)\n',
+        '',
+        _RELAYED,
+        _REAL,
+    ),
     guard_text.Guard(
         'a relayed request has no odd header',
         'nodes/relayframe.py',
