--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -85,7 +85,9 @@
         self._reader = message.AnswerReader()
         self._closed_by_peer = False
         self.on_received: ReceiveHandler | None = None
-        self._sock = sock or connection.connect(address, CONNECT_SECONDS)
+        self._sock = sock or connection.connect(
+            address, CONNECT_SECONDS, connection.BACKEND_SILENCE_SECONDS
+        )
 
     def send_request(self, dispatch: call.Dispatch, deadline: float) -> None:
         """Send a request, as ``send`` does.
@@ -190,7 +192,19 @@
         Returns:
             Whether it has acknowledged every byte.
         """
-        return not connection.count_unacknowledged(self._sock)
+        return not self.count_unacknowledged()
+
+    def count_unacknowledged(self) -> int:
+        """Count the sent bytes that the peer's kernel has not acknowledged.
+
+        Returns:
+            The number of bytes.
+        """
+        return connection.count_unacknowledged(self._sock)
+
+    def reset_on_close(self) -> None:
+        """Drop the bytes on their way when the connection is closed."""
+        connection.reset_on_close(self._sock)
 
     def fileno(self) -> int:
         """Return the file descriptor of the socket.
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -1,64 +1,39 @@
 """The exchange of a request with one back end, up to its report."""
 
 import collections
-import dataclasses
-import math
 
-from pimentoway.backends import channel, liveness
+from pimentoway.backends import channel
 from pimentoway.callers import (
     attempt_error,
+    backendpath,
     handover,
-    notice_reader,
     request_context,
 )
 from pimentoway.core import call, clock, deployment, error, log, message
 from pimentoway.nodes import relaychannel
-from pimentoway.ops import slot, slotclient
+from pimentoway.ops import slot
 
 #: Seconds without an event after which another back end is looked for that
 #: can go on with a resumable stream: several times the longest pause of a
 #: healthy stream. A stalled back end may still send comments or single bytes.
 RESUME_SECONDS = 1.2
 
+#: Seconds after which a request is taken as lost on its way if the kernel of
+#: the back end has acknowledged none of it since: its slot is given back.
+UNACKNOWLEDGED_SECONDS = 0.4
+
 #: The shortest read, in seconds, from a silent back end that has sent
 #: something: the rest of it may be on its way.
 MIN_READ_SECONDS = 0.02
 
-#: The longest idle time, in seconds, of a connection that is reused for a
-#: request that must not run twice. The back end may close an older one just
-#: as the request is sent, which would leave the outcome unknown.
-UNSAFE_MAX_IDLE_SECONDS = 1
-
 #: The largest response body, in bytes, that is buffered.
 MAX_BUFFERED_BYTES = 0x400000
 
 _LOG = log.Log('attempt')
 
-_Pool = channel.ChannelPool | relaychannel.RelayRoute
 _Read = collections.abc.Callable[[float], bytes | None]
 
 
-@dataclasses.dataclass(frozen=True)
-class Dependencies:
-    """The components of a node that an attempt uses.
-
-    Attributes:
-        slots: The client that reports to the broker how a grant ended.
-        channels: The connections to back ends.
-        dialect: Decodes and encodes the platform's HTTP headers.
-        liveness_checker: Tells crashes from broken connections.
-        notices: Reports what back ends announce of themselves.
-        relays: Finds the nodes that relay requests.
-    """
-
-    slots: slotclient.SlotClient
-    channels: channel.ChannelPool
-    dialect: call.Dialect
-    liveness_checker: liveness.LivenessChecker
-    notices: notice_reader.NoticeReader
-    relays: relaychannel.RelayClient
-
-
 class Exchange:
     """A request at one back end.
 
@@ -71,12 +46,13 @@
         first_event_seconds: The time from the start to the first event or to
             a complete response; 0 before that.
         handover: Looks for another back end while this one is silent.
-        via: The node that relays the request; '' for none.
+        path: The way to the back end.
+        is_lost: Whether the request was reported as lost on its way.
     """
 
     def __init__(
         self,
-        dependencies: Dependencies,
+        dependencies: backendpath.Dependencies,
         context: request_context.RequestContext,
         slot_request: slot.SlotRequest,
         engine: deployment.Engine,
@@ -100,14 +76,18 @@
         self.outcome = slot.Outcome.unused
         self.first_event_seconds: float = 0
         self.handover = handover.Handover(prepare_next, context.may_retry)
-        self.via = via
-        self._pool: _Pool = dependencies.channels
+        self.path = backendpath.BackendPath(dependencies, engine, via)
+        self.is_lost = False
         self._dependencies = dependencies
         self._context = context
         self._slot_request = slot_request
         self._started = clock.read_monotonic()
         self._progressed_at = self._started
         self._events_before = context.event_splitter.count
+        # The bytes that the back end's kernel has not acknowledged, and when
+        # they were counted last.
+        self._unacknowledged = 0
+        self._counted_at: float = 0
 
     def connect(self) -> None:
         """Connect to the back end, or report to the broker if that fails.
@@ -116,14 +96,16 @@
             RetryError: If connecting failed.
         """
         try:
-            self.conn = self._acquire()
+            self.conn = self.path.acquire(self._context)
         except relaychannel.RelayError as lost:
             # The next grant names another relay.
             self.outcome = slot.Outcome.relay_lost
             raise attempt_error.RetryError from lost
         except error.ConnectError as fault:
             self.outcome = slot.Outcome.unreachable
-            raise self._make_path_retry() from fault
+            if self.path.is_given_up(self._context):
+                raise self.make_retry() from fault
+            raise attempt_error.RetryError from fault
         finally:
             if self.conn is None:
                 self._report()
@@ -147,6 +129,7 @@
             self.conn.send_request(dispatch, context.deadline)
         except error.ConnectionLostError as fault:
             raise self.handle_cut(fault) from fault
+        self._count_unacknowledged()
 
     def poll_head(self) -> bool:
         """Read the head of the response if it has arrived.
@@ -230,10 +213,11 @@
             self.outcome = slot.Outcome.abandoned
         elif not silent:
             self._check_crash(fault)
-        if self.handover.has_attempt():
-            return attempt_error.HandedOverError()
-        if context.may_retry() and clock.read_monotonic() < context.deadline:
-            return self.make_retry()
+        if clock.read_monotonic() < context.deadline:
+            if self.handover.has_attempt():
+                return attempt_error.HandedOverError()
+            if context.may_retry():
+                return self.make_retry()
         if silent:
             return error.OutcomeUnknownError(
                 'no answer in time',
@@ -249,62 +233,34 @@
             The exception to raise.
         """
         # One that wants no requests now may get this one later.
-        if not self._is_paused():
+        if not self.path.is_paused(self.metadata):
             self._context.avoid(self.engine.name)
         return attempt_error.RetryError()
 
     def close(self) -> None:
         """Keep or close the connection, and report to the broker."""
         self.handover.stop()
+        if self.is_lost and not self.conn.is_acknowledged():
+            # The back end would run what is still on its way.
+            self.conn.reset_on_close()
         # Closing the connection makes the back end cancel the request.
         if self.response is not None and self.response.complete:
-            self._pool.release(self.conn, self.response, self.metadata)
+            self.path.release(self.conn, self.response, self.metadata)
         else:
-            self._pool.discard(self.conn)
-        self._report()
-
-    def _acquire(self) -> channel.Channel:
-        context = self._context
-        if self.via:
-            self._pool = self._dependencies.relays.find_route(
-                self.via, len(context.request.body)
-            )
-        return self._pool.acquire(
-            self.engine.name,
-            self.engine.address,
-            math.inf if context.route.idempotent else UNSAFE_MAX_IDLE_SECONDS,
-        )
-
-    def _make_path_retry(self) -> attempt_error.RetryError:
-        # A node that can't connect may reach the back end through another one,
-        # which the broker knows.
-        context = self._context
-        name = self.engine.name
-        relayed = self.via or name in context.unreachable
-        context.unreachable = (*context.unreachable, name)
-        if relayed or not self._dependencies.relays.has_relay():
-            return self.make_retry()
-        return attempt_error.RetryError()
-
-    def _is_paused(self) -> bool:
-        if self.via:
-            notices = self.metadata.notices if self.metadata else call.Notices()
-            return notices.pause_seconds > 0
-        return not self._dependencies.slots.may_use(self.engine)
+            self.path.discard(self.conn)
+        if not self.is_lost:
+            self._report()
 
     def _read_head(self, deadline: float) -> None:
         request_id = self._context.request.request_id
         response, metadata = self.conn.read_head(request_id, deadline)
         self.response = response
         self.metadata = metadata
-        self._read_notices(metadata.notices)
+        self.path.read_notices(metadata.notices)
         self._context.framing = response.framing
-
-    def _read_notices(self, notices: call.Notices) -> None:
-        if self.via:
-            # The relay has heard the pause, which holds for it.
-            notices = dataclasses.replace(notices, pause_seconds=0)
-        self._dependencies.notices.read(self.engine, notices)
+        self._unacknowledged = 0
+        if self.is_lost and not self.path.via:
+            self._dependencies.slots.report_path(self.engine.name, is_open=True)
 
     def _read_body_part(self, deadline: float) -> bytes:
         return self.conn.read_body_part(self.response, deadline)
@@ -321,56 +277,90 @@
             try:
                 return read(self._compute_read_deadline())
             except channel.SilentError:
-                if not self._may_go_on_elsewhere():
+                if clock.read_monotonic() >= self._context.deadline:
                     raise
-            if not self.handover.is_looking():
-                self._log_silence()
-            self._context.avoid(self.engine.name)
-            self.handover.await_input(self.conn, self._context.deadline)
+            self._check_acknowledged()
+            if self._is_silent():
+                self._await_input()
+
+    def _await_input(self) -> None:
+        now = clock.read_monotonic()
+        if not self.handover.is_looking():
+            _LOG.write(
+                'back end is silent, looks for another one.',
+                self._context.request.request_id,
+                engine=self.engine.name,
+                silent=round(now - self._progressed_at, 3),
+                acknowledged=self.conn.is_acknowledged(),
+                events=self._context.event_splitter.count,
+                left=round(self._context.deadline - now, 3),
+            )
+        self._context.avoid(self.engine.name)
+        self.handover.await_input(self.conn, self._context.deadline)
+
+    def _is_silent(self) -> bool:
+        # Whether another back end is to be looked for.
+        if self._may_go_on_elsewhere():
+            return clock.read_monotonic() >= self._compute_silence_end()
+        return False
 
     def _may_go_on_elsewhere(self) -> bool:
-        context = self._context
+        route = self._context.route
         return (
-            context.route.resumable
-            and clock.read_monotonic() < context.deadline
-            and self.handover.is_possible()
-        )
+            route.resumable or (route.idempotent and self.is_lost)
+        ) and self.handover.is_possible()
+
+    def _compute_silence_end(self) -> float:
+        if self.is_lost:
+            return self._counted_at
+        return self._progressed_at + RESUME_SECONDS
 
     def _compute_read_deadline(self) -> float:
-        deadline = self._context.deadline
-        if not self._may_go_on_elsewhere():
-            return deadline
+        ends = [self._context.deadline]
         soon = clock.read_monotonic() + MIN_READ_SECONDS
-        return min(deadline, max(soon, self._progressed_at + RESUME_SECONDS))
+        if self._unacknowledged and not self.is_lost:
+            ends.append(max(soon, self._counted_at + UNACKNOWLEDGED_SECONDS))
+        if self._may_go_on_elsewhere():
+            ends.append(max(soon, self._compute_silence_end()))
+        return min(ends)
+
+    def _count_unacknowledged(self) -> None:
+        self._unacknowledged = self.conn.count_unacknowledged()
+        self._counted_at = clock.read_monotonic()
 
-    def _log_silence(self) -> None:
+    def _check_acknowledged(self) -> None:
         now = clock.read_monotonic()
+        before = self._unacknowledged
+        if not before or now < self._counted_at + UNACKNOWLEDGED_SECONDS:
+            return
+        self._count_unacknowledged()
+        if self._unacknowledged >= before and not self.is_lost:
+            self._give_back_slot()
+
+    def _give_back_slot(self) -> None:
+        # The answer may still come, and only then would a second run be wrong
+        # for a request that must not run twice.
+        self.is_lost = True
+        self.outcome = slot.Outcome.unacknowledged
         _LOG.write(
-            'back end is silent, looks for another one.',
+            'nothing was acknowledged, gives the slot back.',
             self._context.request.request_id,
             engine=self.engine.name,
-            silent=round(now - self._progressed_at, 3),
-            acknowledged=self.conn.is_acknowledged(),
-            events=self._context.event_splitter.count,
-            left=round(self._context.deadline - now, 3),
+            unacknowledged=self._unacknowledged,
         )
+        self._report()
 
     def _check_crash(self, fault: error.ConnectionLostError) -> None:
         # Only crashes count as evidence against parts of a prompt.
         if not self._context.request.shared_parts:
             return
-        if self._has_crashed(fault):
+        if self.path.has_crashed(fault):
             self.outcome = slot.Outcome.crashed
             self._context.crashed_engines = (
                 *self._context.crashed_engines,
                 self.engine.name,
             )
 
-    def _has_crashed(self, fault: error.ConnectionLostError) -> bool:
-        if self.via:
-            return isinstance(fault, relaychannel.CrashedError)
-        return self._dependencies.liveness_checker.has_crashed(self.engine)
-
     def _report(self) -> None:
         load = self.metadata.load if self.metadata else None
         cold = self.metadata.cold_seconds if self.metadata else None
--- a/pimentoway/callers/forward.py
+++ b/pimentoway/callers/forward.py
@@ -13,6 +13,7 @@
 from pimentoway.callers import (
     attempt_error,
     backend_attempt,
+    backendpath,
     connection,
     drain,
     exchange,
@@ -91,7 +92,7 @@
         self._slots = slots
         self._dialect = dialect
         notices = notice_reader.NoticeReader(slots, dialect)
-        self.dependencies = exchange.Dependencies(
+        self.dependencies = backendpath.Dependencies(
             slots,
             channels,
             dialect,
--- a/pimentoway/nodes/relaychannel.py
+++ b/pimentoway/nodes/relaychannel.py
@@ -70,13 +70,14 @@
         """
         self.send(relayframe.encode_request(dispatch), deadline)
 
-    def is_acknowledged(self) -> bool:
-        """Tell whether the back end's kernel has received all that was sent.
+    def count_unacknowledged(self) -> int:
+        """Count what the back end's kernel has not acknowledged.
 
         Returns:
-            Whether the relay says so.
+            The bytes that the relay's kernel has not acknowledged, and one
+            until the relay says that the back end's has.
         """
-        return self._acknowledged
+        return super().count_unacknowledged() + (not self._acknowledged)
 
     def has_input(self) -> bool:
         """Tell whether anything, or the end, has arrived and was not read.
@@ -241,7 +242,9 @@
     def _connect(self) -> gevent_socket.socket:
         address = self.relay.relay_address
         try:
-            return connection.connect(address, CONNECT_SECONDS, self.source)
+            return connection.connect(
+                address, CONNECT_SECONDS, source=self.source
+            )
         except error.ConnectError as fault:
             raise RelayError(fault.reason, fault.step, fault.peer) from fault
 
--- a/pimentoway/nodes/requestrelay.py
+++ b/pimentoway/nodes/requestrelay.py
@@ -306,6 +306,9 @@
         if answered and not self._peer.left:
             channels.release(self.conn, self._response, self._metadata)
         else:
+            if not (self._acknowledged or self.conn.is_acknowledged()):
+                # The back end would run what is still on its way.
+                self.conn.reset_on_close()
             # Closing the connection makes the back end cancel the request.
             channels.discard(self.conn)
 
--- a/pimentoway/tools/notice_guard.py
+++ b/pimentoway/tools/notice_guard.py
@@ -26,7 +26,7 @@
     guard_text.Guard(
         'a notice is heard with the head of an answer',
         'callers/exchange.py',
-        '        self._read_notices(metadata.notices)\n',
+        '        self.path.read_notices(metadata.notices)\n',
         '',
         _NOTICES,
         _REAL,
@@ -144,7 +144,7 @@
     guard_text.Guard(
         'a request that was turned away may return to the same back end',
         'callers/exchange.py',
-        '        if not self._is_paused():\n',
+        '        if not self.path.is_paused(self.metadata):\n',
         '        if True:\n',
         _NOTICES,
         _REAL,
--- a/pimentoway/tools/relay_guard.py
+++ b/pimentoway/tools/relay_guard.py
@@ -81,8 +81,8 @@
     ),
     guard_text.Guard(
         'an unreachable back end is left to a relay',
-        'callers/exchange.py',
-        '        if relayed or not self._dependencies.relays.has_relay():\n',
+        'callers/backendpath.py',
+        '        if self.via or tried:\n',
         '        if True:\n',
         _RELAYED,
         _REAL,
@@ -105,7 +105,7 @@
     ),
     guard_text.Guard(
         'a relay tells crashes from cuts',
-        'callers/exchange.py',
+        'callers/backendpath.py',
         '            return isinstance(fault, relaychannel.CrashedError)\n',
         '            pass\n',
         _RELAYED,
@@ -113,7 +113,7 @@
     ),
     guard_text.Guard(
         'a pause that a relay heard binds the relay',
-        'callers/exchange.py',
+        'callers/backendpath.py',
         '            notices = dataclasses.replace(notices, pause_seconds=0)\n',
         '            pass\n',
         _RELAYED,
