--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -6,9 +6,11 @@
 """
 
 import collections
+import contextlib
 
 import gevent
 from gevent import event as gevent_event
+from gevent import socket as gevent_socket
 
 from pimentoway.core import call, clock, connection, error, message
 
@@ -38,6 +40,8 @@
 
 _READ_EVENT = 1
 
+ReceiveHandler = collections.abc.Callable[[bytes], None]
+
 
 class SilentError(error.ConnectionLostError):
     """The back end neither sent nor read bytes before the deadline."""
@@ -53,10 +57,16 @@
         idle_since: The monotonic time at which it became idle; 0 before its
             first response is complete.
         idle_seconds: Seconds for which it may stay idle.
+        on_received: Called with all bytes before they are parsed; ``None`` for
+            nothing.
     """
 
     def __init__(
-        self, engine: str, address: str, dialect: call.Dialect
+        self,
+        engine: str,
+        address: str,
+        dialect: call.Dialect,
+        sock: gevent_socket.socket | None = None,
     ) -> None:
         """Connect, within `CONNECT_SECONDS`.
 
@@ -64,6 +74,7 @@
             engine: The name of the back end.
             address: Its IP address and port.
             dialect: Decodes the metadata in the headers of responses.
+            sock: A connection that was opened before; ``None`` to open one.
         """
         self.engine = engine
         self.address = address
@@ -73,10 +84,21 @@
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self._reader = message.AnswerReader()
         self._closed_by_peer = False
-        self._sock = connection.connect(
+        self.on_received: ReceiveHandler | None = None
+        self._sock = sock or connection.connect(
             address, CONNECT_SECONDS, connection.BACKEND_SILENCE_SECONDS
         )
 
+    def send_request(self, dispatch: call.Dispatch, deadline: float) -> None:
+        """Send a request, as ``send`` does.
+
+        Args:
+            dispatch: The request.
+            deadline: The monotonic time at which sending is given up.
+        """
+        head = self._dialect.write_request(dispatch)
+        self.send(b'%s%s' % (head, dispatch.request.body), deadline)
+
     def send(self, payload: bytes, deadline: float) -> None:
         """Send a request; stop early if the back end already responds.
 
@@ -218,6 +240,14 @@
         """Close the connection, which makes the back end stop its work."""
         self._sock.close()
 
+    def abort(self) -> None:
+        """End reads and writes that wait; the connection must still be closed.
+
+        The back end stops its work. This does not block.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(gevent_socket.SHUT_RDWR)
+
     def _is_own(self, named: str, request_id: str) -> bool:
         if named:
             return named == request_id
@@ -264,8 +294,13 @@
         except OSError as fault:
             raise self._make_cut_error(fault) from fault
         if received:
+            if self.on_received:
+                self.on_received(received)
             self._reader.feed(received)
             return
+        self._note_end()
+
+    def _note_end(self) -> None:
         self._closed_by_peer = True
         self._reader.end()
         if not self._is_last_response_complete():
--- /dev/null
+++ b/pimentoway/callers/backendpath.py
@@ -0,0 +1,163 @@
+"""The way of one attempt to its back end: direct, or by another node."""
+
+import dataclasses
+import math
+
+from pimentoway.backends import channel, liveness
+from pimentoway.callers import notice_reader, request_context
+from pimentoway.core import call, deployment, error, message
+from pimentoway.nodes import relaychannel
+from pimentoway.ops import slotclient
+
+#: The longest idle time, in seconds, of a connection that is reused for a
+#: request that must not run twice. The back end may close an older one just
+#: as the request is sent, which would leave the outcome unknown.
+UNSAFE_MAX_IDLE_SECONDS = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Dependencies:
+    """The components of a node that an attempt uses.
+
+    Attributes:
+        slots: The client that reports to the broker how a grant ended.
+        channels: The connections to back ends.
+        dialect: Decodes and encodes the platform's HTTP headers.
+        liveness_checker: Tells crashes from broken connections.
+        notices: Reports what back ends announce of themselves.
+        relays: Finds the nodes that relay requests.
+    """
+
+    slots: slotclient.SlotClient
+    channels: channel.ChannelPool
+    dialect: call.Dialect
+    liveness_checker: liveness.LivenessChecker
+    notices: notice_reader.NoticeReader
+    relays: relaychannel.RelayClient
+
+
+class BackendPath:
+    """The way to one back end.
+
+    Attributes:
+        via: The name of the node that relays the request; '' for none.
+    """
+
+    def __init__(
+        self, dependencies: Dependencies, engine: deployment.Engine, via: str
+    ) -> None:
+        """Choose the way; nothing is connected yet.
+
+        Args:
+            dependencies: The components of the node.
+            engine: The back end.
+            via: The name of the node that relays the request; '' for none.
+        """
+        self.via = via
+        self._engine = engine
+        self._dependencies = dependencies
+        self._pool: channel.ChannelPool | relaychannel.RelayRoute = (
+            dependencies.channels
+        )
+
+    def acquire(
+        self, context: request_context.RequestContext
+    ) -> channel.Channel:
+        """Connect to the back end, or let the relay do it.
+
+        Args:
+            context: The request.
+
+        Returns:
+            The connection, to be passed to ``release`` or ``discard``. A
+            failure to connect is raised as ``ConnectError``.
+        """
+        if self.via:
+            self._pool = self._dependencies.relays.find_route(
+                self.via, len(context.request.body)
+            )
+        return self._pool.acquire(
+            self._engine.name,
+            self._engine.address,
+            math.inf if context.route.idempotent else UNSAFE_MAX_IDLE_SECONDS,
+        )
+
+    def release(
+        self,
+        conn: channel.Channel,
+        response: message.Answer,
+        metadata: call.AnswerMetadata,
+    ) -> None:
+        """Keep a connection for the next request, or close it.
+
+        Args:
+            conn: The connection.
+            response: The response that was read from it.
+            metadata: The metadata of the response.
+        """
+        self._pool.release(conn, response, metadata)
+
+    def discard(self, conn: channel.Channel) -> None:
+        """Close a connection.
+
+        Args:
+            conn: The connection.
+        """
+        self._pool.discard(conn)
+
+    def is_given_up(self, context: request_context.RequestContext) -> bool:
+        """Tell whether a back end that can't be reached is given up.
+
+        A node that can't connect may reach it through another one, which the
+        broker knows.
+
+        Args:
+            context: The request, which remembers the back end.
+
+        Returns:
+            Whether it is; false after the first direct try if other nodes
+            relay.
+        """
+        name = self._engine.name
+        tried = name in context.unreachable
+        context.unreachable = (*context.unreachable, name)
+        if self.via or tried:
+            return True
+        return not self._dependencies.relays.has_relay()
+
+    def is_paused(self, metadata: call.AnswerMetadata | None) -> bool:
+        """Tell whether the back end wants no requests for some time.
+
+        Args:
+            metadata: The metadata of its response; ``None`` without one.
+
+        Returns:
+            Whether it wants none on this way.
+        """
+        if self.via:
+            return metadata is not None and metadata.notices.pause_seconds > 0
+        return not self._dependencies.slots.may_use(self._engine)
+
+    def read_notices(self, notices: call.Notices) -> None:
+        """Report what the back end announces of itself.
+
+        Args:
+            notices: What it announces.
+        """
+        if self.via:
+            # The relay has heard the pause, which holds for it.
+            notices = dataclasses.replace(notices, pause_seconds=0)
+        self._dependencies.notices.read(self._engine, notices)
+
+    def has_crashed(self, fault: error.ConnectionLostError) -> bool:
+        """Tell whether the back end crashed when its connection broke.
+
+        Args:
+            fault: The error.
+
+        Returns:
+            Whether it refuses new connections, here or at the relay.
+        """
+        if self.via:
+            return isinstance(fault, relaychannel.CrashedError)
+        return self._dependencies.liveness_checker.has_crashed(self._engine)
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -1,47 +1,21 @@
 """The exchange of a request with one back end, up to its report."""
 
-import dataclasses
-import math
-
-from pimentoway.backends import channel, liveness
+from pimentoway.backends import channel
 from pimentoway.callers import (
     attempt_error,
+    backendpath,
     handover,
-    notice_reader,
     patience,
     request_context,
 )
 from pimentoway.core import call, clock, deployment, error, message
-from pimentoway.ops import slot, slotclient
-
-#: The longest idle time, in seconds, of a connection that is reused for a
-#: request that must not run twice. The back end may close an older one just
-#: as the request is sent, which would leave the outcome unknown.
-UNSAFE_MAX_IDLE_SECONDS = 1
+from pimentoway.nodes import relaychannel
+from pimentoway.ops import slot
 
 #: The largest response body, in bytes, that is buffered.
 MAX_BUFFERED_BYTES = 0x400000
 
 
-@dataclasses.dataclass(frozen=True)
-class Dependencies:
-    """The components of a node that an attempt uses.
-
-    Attributes:
-        slots: The client that reports to the broker how a grant ended.
-        channels: The connections to back ends.
-        dialect: Decodes and encodes the platform's HTTP headers.
-        liveness_checker: Tells crashes from broken connections.
-        notices: Reports what back ends announce of themselves.
-    """
-
-    slots: slotclient.SlotClient
-    channels: channel.ChannelPool
-    dialect: call.Dialect
-    liveness_checker: liveness.LivenessChecker
-    notices: notice_reader.NoticeReader
-
-
 class Exchange:
     """A request at one back end.
 
@@ -54,15 +28,17 @@
         first_event_seconds: The time from the start to the first event or to
             a complete response; 0 before that.
         handover: Looks for another back end while this one is silent.
+        path: The way to the back end.
     """
 
     def __init__(
         self,
-        dependencies: Dependencies,
+        dependencies: backendpath.Dependencies,
         context: request_context.RequestContext,
         slot_request: slot.SlotRequest,
         engine: deployment.Engine,
         prepare_next: handover.Prepare,
+        via: str = '',
     ) -> None:
         """Start the clock; nothing is sent yet.
 
@@ -72,6 +48,7 @@
             slot_request: The slot request that was granted.
             engine: The back end that the grant names.
             prepare_next: Prepares an attempt at another back end.
+            via: The name of the node that relays the request; '' for none.
         """
         self.engine = engine
         self.conn: channel.Channel | None = None
@@ -80,6 +57,7 @@
         self.outcome = slot.Outcome.unused
         self.first_event_seconds: float = 0
         self.handover = handover.Handover(prepare_next, context.may_retry)
+        self.path = backendpath.BackendPath(dependencies, engine, via)
         self._dependencies = dependencies
         self._context = context
         self._slot_request = slot_request
@@ -92,18 +70,20 @@
     def connect(self) -> None:
         """Connect to the back end, or report to the broker if that fails.
 
-        A failure to connect is raised as ``RetryError``.
+        Raises:
+            RetryError: If connecting failed.
         """
-        idempotent = self._context.route.idempotent
         try:
-            self.conn = self._dependencies.channels.acquire(
-                self.engine.name,
-                self.engine.address,
-                math.inf if idempotent else UNSAFE_MAX_IDLE_SECONDS,
-            )
+            self.conn = self.path.acquire(self._context)
+        except relaychannel.RelayError as lost:
+            # The next grant names another relay.
+            self.outcome = slot.Outcome.relay_lost
+            raise attempt_error.RetryError from lost
         except error.ConnectError as fault:
             self.outcome = slot.Outcome.unreachable
-            raise self.make_retry() from fault
+            if self.path.is_given_up(self._context):
+                raise self.make_retry() from fault
+            raise attempt_error.RetryError from fault
         finally:
             if self.conn is None:
                 self._report()
@@ -122,13 +102,12 @@
             timeout_seconds=context.deadline - clock.read_monotonic(),
             after_event=context.event_splitter.last_id,
         )
-        head = self._dependencies.dialect.write_request(dispatch)
         context.sends += 1
         context.possible_runs += 1
         self.outcome = slot.Outcome.abandoned
         self._events_before = context.event_splitter.count
         try:
-            self.conn.send(b'%s%s' % (head, context.request.body), deadline)
+            self.conn.send_request(dispatch, deadline)
         except error.ConnectionLostError as fault:
             raise self.handle_cut(fault) from fault
         self._reader.start(self.conn)
@@ -216,8 +195,11 @@
         silent = isinstance(fault, channel.SilentError)
         self.outcome = slot.Outcome.silent if silent else slot.Outcome.cut
         context = self._context
-        if not silent:
-            self._check_crash()
+        if isinstance(fault, relaychannel.RelayBrokenError):
+            # That is no fault of the back end.
+            self.outcome = slot.Outcome.abandoned
+        elif not silent:
+            self._check_crash(fault)
         if self.has_successor():
             return self.make_retry()
         if context.may_retry() and clock.read_monotonic() < context.deadline:
@@ -250,7 +232,7 @@
         if self.has_successor():
             return attempt_error.HandedOverError()
         # One that wants no requests now may get this one later.
-        if self._dependencies.slots.may_use(self.engine):
+        if not self.path.is_paused(self.metadata):
             self._context.avoid(self.engine.name)
         return attempt_error.RetryError()
 
@@ -262,11 +244,9 @@
             self.conn.reset_on_close()
         # Closing the connection makes the back end cancel the request.
         if self.response is not None and self.response.complete:
-            self._dependencies.channels.release(
-                self.conn, self.response, self.metadata
-            )
+            self.path.release(self.conn, self.response, self.metadata)
         else:
-            self._dependencies.channels.discard(self.conn)
+            self.path.discard(self.conn)
         if not self._reader.is_lost:
             self._report()
 
@@ -275,10 +255,10 @@
         response, metadata = self.conn.read_head(request_id, deadline)
         self.response = response
         self.metadata = metadata
-        self._dependencies.notices.read(self.engine, metadata.notices)
+        self.path.read_notices(metadata.notices)
         self._context.framing = response.framing
         self._reader.note_answer()
-        if self._reader.is_lost:
+        if self._reader.is_lost and not self.path.via:
             self._dependencies.slots.report_path(self.engine.name, is_open=True)
 
     def _read_body_part(self, deadline: float) -> bytes:
@@ -296,11 +276,11 @@
         self.outcome = slot.Outcome.unacknowledged
         self._report()
 
-    def _check_crash(self) -> None:
+    def _check_crash(self, fault: error.ConnectionLostError) -> None:
         # Only crashes count as evidence against parts of a prompt.
         if not self._context.request.shared_parts:
             return
-        if self._dependencies.liveness_checker.has_crashed(self.engine):
+        if self.path.has_crashed(fault):
             self.outcome = slot.Outcome.crashed
             self._context.crashed_engines = (
                 *self._context.crashed_engines,
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -431,7 +431,10 @@
 
 
 def connect(
-    address: str, seconds: float, silence_seconds: int = SILENCE_SECONDS
+    address: str,
+    seconds: float,
+    silence_seconds: int = SILENCE_SECONDS,
+    source: str = '',
 ) -> gevent_socket.socket:
     """Connect to a peer.
 
@@ -440,6 +443,7 @@
         seconds: The timeout.
         silence_seconds: The time after which the connection ends if the peer
             is silent.
+        source: The own IP address that the peer sees; '' for any.
 
     Returns:
         The connection.
@@ -449,7 +453,9 @@
     """
     host, _, port = address.rpartition(':')
     try:
-        sock = gevent_socket.create_connection((host, int(port)), seconds)
+        sock = gevent_socket.create_connection(
+            (host, int(port)), seconds, (source, 0) if source else None
+        )
     except (OSError, ValueError) as fault:
         raise error.ConnectError(
             f'no connection: {fault}',
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -251,6 +251,17 @@
         """
         return self._local.notices.allows(self.requester, engine)
 
+    def is_usable(self, engine: deployment.Engine) -> bool:
+        """Tell whether a back end may get requests, perhaps of other nodes.
+
+        Args:
+            engine: The back end.
+
+        Returns:
+            Whether it may, as far as the node itself knows.
+        """
+        return self._local.notices.is_usable(engine)
+
     def accept_reply(self, reply: slot.Grant | slot.Refusal) -> None:
         """Pass the broker's reply to the greenlet that awaits it.
 
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -19,6 +19,7 @@
     notice_guard,
     path_guard,
     recovery_guard,
+    relay_guard,
     silence_guard,
 )
 
@@ -53,6 +54,7 @@
     *notice_guard.GUARDS,
     *path_guard.GUARDS,
     *recovery_guard.GUARDS,
+    *relay_guard.GUARDS,
     *silence_guard.GUARDS,
     guard_text.Guard(
         'claim before dispatch',
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -94,16 +94,17 @@
     guard_text.Guard(
         'another run goes on after a late failure',
         'callers/exchange.py',
-        '        return self.handover.has_attempt()\n',
+        '        return now < self._context.deadline and '
+        'self.handover.has_attempt()\n',
         '        return False\n',
         _SILENCE,
         _REAL,
     ),
     guard_text.Guard(
         'comments hold no stream',
-        'callers/backend_attempt.py',
-        '                self._exchange.note_no_event()\n',
-        '                pass\n',
+        'callers/exchange.py',
+        '            self._reader.note_no_event()\n',
+        '            pass\n',
         _SILENCE,
         _REAL,
     ),
