Test back ends in doubt and the node of the own broker

The state of a back end was tested for its own faults only, and nothing showed that a node counts at its own broker. Three guards, each seen red.

--- a/pimentoway/ops/enginestate_test.py
+++ b/pimentoway/ops/enginestate_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentoway.core import deployment
-from pimentoway.ops import enginestate, slot
+from pimentoway.ops import enginestate, pathtable, slot
 from pimentoway.standin import paused_loop, slotrequest
 
 ENGINE = deployment.Engine('e', 's', '1.1.1.1:1', 'z', 'v1', 6, False, 0, 1)
@@ -17,6 +17,7 @@
 def run(
     state: enginestate.EngineState,
     outcome: slot.Outcome,
+    judgement: pathtable.Judgement = pathtable.Judgement.engine,
     **reported: int | float,
 ) -> None:
     """Start and end one request.
@@ -24,11 +25,13 @@
     Args:
         state: The state of the back end.
         outcome: The outcome of the request.
+        judgement: What it says of the back end.
         **reported: Fields of the report, such as the load of the back end.
     """
     state.start(('n', 1), SLOT_REQUEST)
     report = slot.Report(1, outcome)
-    state.end(('n', 1), msgspec.structs.replace(report, **reported))
+    report = msgspec.structs.replace(report, **reported)
+    state.end(('n', 1), report, judgement)
 
 
 @pytest.mark.parametrize(
@@ -55,6 +58,35 @@
     assert not state.count_free(1)
 
 
+# One node whose connections were refused paused a back end for all nodes.
+def test_doubted_back_end_is_probed() -> None:
+    """One request at a time shows whether it works, or goes on for a while."""
+    state = enginestate.EngineState(ENGINE)
+    state.start(('n', 0), SLOT_REQUEST)
+    paused_loop.advance(1)
+    run(state, slot.Outcome.crashed, pathtable.Judgement.doubted)
+    free = [state.count_free(1)]
+    state.start(('m', 1), SLOT_REQUEST)
+    for seconds in (0, enginestate.TRUST_SECONDS + 0.01):
+        paused_loop.advance(seconds)
+        free.append(state.count_free(1))
+    assert free == [1, 0, 4]
+
+
+def test_judged_faults_of_a_back_end() -> None:
+    """Those of a path don't count, and a confirmed one pauses it at once."""
+    state = enginestate.EngineState(ENGINE)
+    free = []
+    for judgement in (
+        pathtable.Judgement.path,
+        pathtable.Judgement.doubted,
+        pathtable.Judgement.confirmed,
+    ):
+        run(state, slot.Outcome.crashed, judgement)
+        free.append(state.count_free(1))
+    assert free == [6, 1, 0]
+
+
 def test_pause_is_bounded() -> None:
     """A back end that stays unreachable is probed every two seconds."""
     state = enginestate.EngineState(ENGINE)
--- a/pimentoway/ops/pathrecord.py
+++ b/pimentoway/ops/pathrecord.py
@@ -175,8 +175,7 @@
 
     def unpublish(self) -> None:
         """Remove the metric of the node's lost paths."""
-        if (self._node,) in metric.LOST_PATHS._metrics:
-            metric.LOST_PATHS.remove(self._node)
+        metric.LOST_PATHS.remove(self._node)
 
 
 @dataclasses.dataclass(eq=False)
--- a/pimentoway/ops/slotclient_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -235,6 +235,20 @@
     assert not pair.slots.list_usage()
 
 
+# A broker that doesn't count its own node as one can't compare it with others.
+def test_own_node_is_attached_to_one_broker() -> None:
+    """It counts at its own broker from the start, until it uses another."""
+    pair = BrokerPair()
+    for _ in range(2):
+        assert pair.local.engines.paths.requester_by_attached == {
+            'n1': REQUESTER
+        }
+        pair.attach_remote()
+        assert not pair.local.engines.paths.requester_by_attached
+        assert pair.remote.engines.paths.requester_by_attached
+        pair.slots.switch_broker(None)
+
+
 def test_notices_reach_both_brokers() -> None:
     """The other broker learns them at once, and as the node attaches."""
     pair = BrokerPair()
--- a/pimentoway/tools/path_guard.py
+++ b/pimentoway/tools/path_guard.py
@@ -67,6 +67,27 @@
         '        if self.requester_by_attached:\n',
         _TABLE_TEST,
     ),
+    guard_text.Guard(
+        'a back end in doubt gets one request at a time',
+        'ops/enginestate.py',
+        '        if self.doubted_since:\n',
+        _NEVER,
+        'pimentoway/ops/enginestate_test.py',
+    ),
+    guard_text.Guard(
+        'a confirmed fault pauses a back end at once',
+        'ops/enginestate.py',
+        'self._fault_count = max(self._fault_count, FAULTS_UNTIL_PAUSE - 1)',
+        'pass',
+        'pimentoway/ops/enginestate_test.py',
+    ),
+    guard_text.Guard(
+        'a node is attached to its own broker',
+        'ops/slotclient.py',
+        '        local.adopt(self.requester, self.list_running(), [])\n',
+        '',
+        'pimentoway/ops/slotclient_test.py',
+    ),
     guard_text.Guard(
         'few paths of a node are kept',
         _RECORD,
