Probe the paths to back ends that can't be reached

Once a node had lost a path, only a request of a caller could show that it was open again, and on a path that hangs each such request waited 0.4 s in vain.

A node now remembers the paths on which no connection could be opened or nothing was acknowledged, and probes them: one connection at a time, one a second over all, faster after a success, which goes to the idle connections and to the broker as a path report. Where connecting hangs, requests learn at once that the path is lost, for a second first and 8 s at most; a refusal comes at once and is always tried, as the back end may have restarted.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -12,6 +12,7 @@
 from gevent import event as gevent_event
 from gevent import socket as gevent_socket
 
+from pimentoway.backends import pathprobe
 from pimentoway.core import call, clock, connection, error, message
 
 #: Seconds to connect to a back end. TCP retransmits a lost SYN only after a
@@ -349,6 +350,7 @@
         opened_count: The number of connections opened since the start.
         open_by_engine: The number of open connections, idle or in use, by the
             name of the back end.
+        lost_paths: The back ends to which no connection could be opened.
     """
 
     def __init__(self, dialect: call.Dialect) -> None:
@@ -360,6 +362,7 @@
         self._dialect = dialect
         self.opened_count = 0
         self.open_by_engine: collections.Counter[str] = collections.Counter()
+        self.lost_paths = pathprobe.LostPaths()
         self._idle_by_engine: dict[str, list[Channel]] = {}
 
     def acquire(
@@ -391,10 +394,26 @@
             ):
                 return channel
             self.discard(channel)
-        channel = Channel(engine, address, self._dialect)
-        self.opened_count += 1
-        self.open_by_engine[engine] += 1
-        return channel
+        self.lost_paths.check(engine, address)
+        return self._open(engine, address)
+
+    def probe(self, engine: str, address: str) -> bool:
+        """Try to open a connection, which then waits for a request.
+
+        Args:
+            engine: The name of the back end.
+            address: Its IP address and port.
+
+        Returns:
+            Whether it was opened.
+        """
+        try:
+            channel = self._open(engine, address)
+        except error.ConnectError:
+            return False
+        channel.idle_since = clock.read_monotonic()
+        self._idle_by_engine.setdefault(engine, []).append(channel)
+        return True
 
     def release(
         self,
@@ -456,3 +475,19 @@
             for channel in expired:
                 idle.remove(channel)
                 self.discard(channel)
+
+    def _open(self, engine: str, address: str) -> Channel:
+        try:
+            channel = Channel(engine, address, self._dialect)
+        except error.ConnectError as fault:
+            self.lost_paths.note_failure(
+                engine,
+                address,
+                str(fault),
+                hold=isinstance(fault.__cause__, TimeoutError),
+            )
+            raise
+        self.lost_paths.note_success(engine)
+        self.opened_count += 1
+        self.open_by_engine[engine] += 1
+        return channel
--- a/pimentoway/callers/backendpath.py
+++ b/pimentoway/callers/backendpath.py
@@ -125,6 +125,29 @@
             return True
         return not self._dependencies.relays.has_relay()
 
+    def note_lost(self) -> None:
+        """Record that the back end acknowledged nothing, so that it is probed.
+
+        A relay does that for its own ways.
+        """
+        if not self.via:
+            self._dependencies.channels.lost_paths.note_failure(
+                self._engine.name,
+                self._engine.address,
+                'nothing was acknowledged',
+                hold=False,
+            )
+
+    def note_answer(self) -> None:
+        """Report that a back end that seemed lost has answered."""
+        if not self.via:
+            self._dependencies.channels.lost_paths.note_success(
+                self._engine.name
+            )
+            self._dependencies.slots.report_path(
+                self._engine.name, is_open=True
+            )
+
     def is_paused(self, metadata: call.AnswerMetadata | None) -> bool:
         """Tell whether the back end wants no requests for some time.
 
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -259,8 +259,8 @@
         self.path.read_notices(metadata.notices)
         self._context.framing = response.framing
         self._unacknowledged = 0
-        if self.is_lost and not self.path.via:
-            self._dependencies.slots.report_path(self.engine.name, is_open=True)
+        if self.is_lost:
+            self.path.note_answer()
 
     def _read_body_part(self, deadline: float) -> bytes:
         return self.conn.read_body_part(self.response, deadline)
@@ -342,6 +342,7 @@
         # for a request that must not run twice.
         self.is_lost = True
         self.outcome = slot.Outcome.unacknowledged
+        self.path.note_lost()
         _LOG.write(
             'nothing was acknowledged, gives the slot back.',
             self._context.request.request_id,
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import traceback
 import uuid
 
@@ -9,7 +10,7 @@
 import prometheus_client
 from gevent import server as gevent_server
 
-from pimentoway.backends import channel
+from pimentoway.backends import channel, pathprobe
 from pimentoway.callers import connection, forward
 from pimentoway.core import (
     budget,
@@ -175,6 +176,11 @@
             int(settings.memory_bytes * BODY_MEMORY_FRACTION)
         )
         self._relay = self._make_relay()
+        self._prober = pathprobe.PathProber(
+            self._channels.lost_paths,
+            self._channels.probe,
+            functools.partial(self.slots.report_path, is_open=True),
+        )
         self._caller_server: gevent_server.StreamServer | None = None
         self._attached_time_by_peer: dict[str, float] = {}
         self.view.subscribe(self._on_view_change)
@@ -197,6 +203,7 @@
             self._run_sweeps,
             self._run_rollouts,
             self._rewriter.run,
+            self._prober.run,
         ):
             task.keep_running(function)
         self._caller_server = _serve_stream(
@@ -372,6 +379,11 @@
             removed = set(self._channels.open_by_engine).difference(registered)
             for name in removed:
                 self._channels.discard_idle(name)
+            self._channels.lost_paths.retain(self._find_engine_address)
+
+    def _find_engine_address(self, name: str) -> str:
+        engine = self.view.engines_by_name.get(name)
+        return engine.address if engine else ''
 
     def _update_share(self) -> None:
         attached = len(self._links.link_by_requester) + (
--- a/pimentoway/tools/relay_guard.py
+++ b/pimentoway/tools/relay_guard.py
@@ -4,6 +4,8 @@
 
 _RELAY = 'pimentoway/platform/relay_process_test.py'
 _RELAYED = 'pimentoway/platform/relayed_process_test.py'
+_PROBES = 'pimentoway/backends/pathprobe_test.py'
+_PROBES_REAL = 'pimentoway/backends/pathprobe_process_test.py'
 _REAL = 'real'
 
 GUARDS = (
@@ -127,6 +129,35 @@
         _RELAYED,
         _REAL,
     ),
+    guard_text.Guard(
+        'requests do not wait for a path that hangs',
+        'backends/channel.py',
+        '        self.lost_paths.check(engine, address)\n',
+        '',
+        _PROBES_REAL,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'a refused connection is tried again at once',
+        'backends/pathprobe.py',
+        '        if hold:\n',
+        '        if True:\n',
+        _PROBES,
+    ),
+    guard_text.Guard(
+        'paths are not probed all at once',
+        'backends/pathprobe.py',
+        '            fast = self._fast_probes > 0\n',
+        '            fast = True\n',
+        _PROBES,
+    ),
+    guard_text.Guard(
+        'paths to gone back ends are forgotten',
+        'backends/pathprobe.py',
+        '            if find_address(engine) != path.address:\n',
+        '            if False:\n',
+        _PROBES,
+    ),
     guard_text.Guard(
         'a relayed request has no odd header',
         'nodes/relayframe.py',
