--- a/pimentoway/platform/relay_process_test.py
+++ b/pimentoway/platform/relay_process_test.py
@@ -321,61 +321,22 @@
     assert not isinstance(caught.value, relaychannel.RelayError)
 
 
-def deny_leaving(harness: Harness) -> None:
-    """Let the relay drain.
-
-    Args:
-        harness: The relay.
-    """
-    harness.relay.leaving = True
-
-
-def deny_engine(harness: Harness) -> None:
-    """Let the relay have heard a notice.
-
-    Args:
-        harness: The relay.
-    """
-    harness.usable = False
-
-
-def remove_engine(harness: Harness) -> None:
-    """Let the relay not know the engine.
-
-    Args:
-        harness: The relay.
-    """
-    put(harness.view, registry.Kind.engines, 'e1', None)
-
-
-def drain_engine(harness: Harness) -> None:
-    """Let the engine drain.
-
-    Args:
-        harness: The relay.
-    """
-    record = dataclasses.replace(harness.engine, draining=True)
-    put(harness.view, registry.Kind.engines, 'e1', record)
-
-
-def stop_relay(harness: Harness) -> None:
-    """Stop the relay.
-
-    Args:
-        harness: The relay.
-    """
-    harness.server.stop()
-
-
 @pytest.mark.parametrize(
-    'prepare',
-    [deny_leaving, deny_engine, remove_engine, drain_engine, stop_relay],
+    'reason', ['draining', 'notice', 'unknown', 'drained engine', 'stopped']
 )
-def test_relay_that_denies_is_lost(prepare: object) -> None:
+def test_relay_that_denies_is_lost(reason: str) -> None:
     """Nothing reached the engine, so the request is sent elsewhere."""
     engine = scripted_engine.ScriptedEngine('e1')
     harness = Harness(engine)
-    prepare(harness)
+    harness.relay.leaving = reason == 'draining'
+    harness.usable = reason != 'notice'
+    if reason == 'unknown':
+        put(harness.view, registry.Kind.engines, 'e1', None)
+    elif reason == 'drained engine':
+        record = dataclasses.replace(harness.engine, draining=True)
+        put(harness.view, registry.Kind.engines, 'e1', record)
+    elif reason == 'stopped':
+        harness.server.stop()
     with pytest.raises(relaychannel.RelayError):
         harness.open()
     assert harness.channels.open_by_engine['e1'] == 0
