--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -258,8 +258,8 @@
         self.path.read_notices(metadata.notices)
         self._context.framing = response.framing
         self._reader.note_answer()
-        if self._reader.is_lost and not self.path.via:
-            self._dependencies.slots.report_path(self.engine.name, is_open=True)
+        if self._reader.is_lost:
+            self.path.note_answer()
 
     def _read_body_part(self, deadline: float) -> bytes:
         return self.conn.read_body_part(self.response, deadline)
@@ -274,6 +274,7 @@
         # The answer may still come, and only then would a second run be wrong
         # for a request that must not run twice.
         self.outcome = slot.Outcome.unacknowledged
+        self.path.note_lost()
         self._report()
 
     def _check_crash(self, fault: error.ConnectionLostError) -> None:
