Send waiting slot requests on when another broker is found

A node that has no link asks its own broker. When it found another one, the slot requests that waited in its own broker were dropped and never sent again: their callers got a refusal only when their time was over, and a stream that waited to be resumed was broken off.

Now they are sent to the new broker, as after any other change. The test failed before: no grant came although a slot was free.

--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -63,13 +63,11 @@
         request: The slot request, as it was sent last.
         sent_at: When it was sent last, on the monotonic clock.
         reply: Set to the grant or the refusal.
-        remote: Whether it was sent to another node's broker.
     """
 
     request: slot.SlotRequest
     sent_at: float
     reply: gevent_event.AsyncResult
-    remote: bool
 
 
 class SlotClient:
@@ -123,21 +121,15 @@
         self._remote = remote
         if not was_remote:
             # The new broker learns of the runs in progress from the message
-            # that opened the link. The slot requests that wait in the node's
-            # own broker are dropped there and not sent again.
+            # that opened the link.
             self._local.drop_requester(self.requester)
-            return
         if remote is None:
             self._local.adopt(
                 self.requester,
                 self.list_running(),
                 self.list_usage(),
             )
-        waiting = [
-            pending
-            for pending in self._pending_by_number.values()
-            if pending.remote
-        ]
+        waiting = list(self._pending_by_number.values())
         _LOG.write(
             'broker changed; slot requests without a reply are sent again.',
             waiting=len(waiting),
@@ -169,7 +161,6 @@
             request,
             clock.read_monotonic(),
             gevent_event.AsyncResult(),
-            self.is_remote,
         )
         self._pending_by_number[number] = pending
         granted = False
@@ -277,7 +268,6 @@
         return len(self._pending_by_number)
 
     def _submit(self, pending: _Pending) -> None:
-        pending.remote = self.is_remote
         if self._remote:
             self._remote(pending.request)
         else:
--- a/pimentoway/ops/slotclient_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -150,6 +150,21 @@
     assert task.get(timeout=1) == 'e0'
 
 
+# A request that waited in the node's own broker got no reply before its time
+# was over: another broker was found, and its slot request was dropped.
+def test_request_at_own_broker_is_sent_again() -> None:
+    """Broker found: it grants what waited in the node's own broker."""
+    pair = BrokerPair()
+    running = [pair.acquire(), pair.acquire()]
+    waiting = gevent.spawn(pair.acquire)
+    paused_loop.advance(0.1)
+    pair.attach_remote()
+    report_answer(pair, running[0])
+    paused_loop.advance(0.1)
+    assert waiting.successful()
+    assert not pair.count_free(pair.remote)
+
+
 # Guards against slot requests that are never sent again after the broker has
 # raised an unexpected error for another one.
 def test_unexpected_error_spares_other_requests() -> None:
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -143,4 +143,12 @@
         '',
         'pimentoway/ops/admit_test.py',
     ),
+    guard_text.Guard(
+        'requests that wait in the own broker are sent to another one',
+        'ops/slotclient.py',
+        '            self._local.drop_requester(self.requester)\n',
+        '            self._local.drop_requester(self.requester)\n'
+        '            return\n',
+        'pimentoway/ops/slotclient_test.py',
+    ),
 )
