--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -183,7 +183,10 @@
         context = self._context
         response = self._exchange.response
         self._exchange.outcome = slot.Outcome.failed
-        if self._exchange.has_successor() and response.status >= _FAILURE:
+        if (
+            self._exchange.handover.has_attempt()
+            and response.status >= _FAILURE
+        ):
             raise self._exchange.make_retry()
         buffered = _make_buffered(response, self._read_body_or_fail())
         if self._exchange.metadata.sealed and not context.writer.started:
@@ -224,10 +227,7 @@
         part = self._exchange.read_part()
         while part:
             events = self._split_events(part)
-            if eventstream.has_event(events):
-                self._exchange.note_event()
-            else:
-                self._exchange.note_no_event()
+            self._exchange.note_part(eventstream.has_event(events))
             if resumed:
                 self._check_resumed(events)
             if events:
@@ -275,7 +275,7 @@
             raise self._exchange.handle_cut(fault) from fault
 
     def _make_failure(self, reason: str) -> Exception:
-        if self._exchange.has_successor() or self._context.may_retry():
+        if self._exchange.handover.has_attempt() or self._context.may_retry():
             return self._exchange.make_retry()
         return error.FailedError(reason, 'answer', self._exchange.engine.name)
 
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -7,6 +7,22 @@
 _REAL = 'real'
 
 GUARDS = (
+    guard_text.Guard(
+        'a request that was lost on its way returns its slot',
+        'callers/exchange.py',
+        '            self._give_back_slot()\n',
+        '            self.is_lost = True\n',
+        _SILENCE,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'what is on its way is dropped with the connection',
+        'callers/exchange.py',
+        '            self.conn.reset_on_close()\n',
+        '            self.conn.is_acknowledged()\n',
+        _SILENCE,
+        _REAL,
+    ),
     guard_text.Guard(
         'connections outlast the silence of a sound back end',
         'backends/channel.py',
@@ -78,16 +94,16 @@
     guard_text.Guard(
         'another run goes on after a late failure',
         'callers/exchange.py',
-        '        return self.handover.has_attempt()\n',
-        '        return False\n',
+        '        if self.handover.has_attempt():\n            return attempt',
+        '        if False:\n            return attempt',
         _SILENCE,
         _REAL,
     ),
     guard_text.Guard(
         'comments hold no stream',
-        'callers/backend_attempt.py',
-        '                self._exchange.note_no_event()\n',
-        '                pass\n',
+        'callers/exchange.py',
+        'if self._is_silent() and not self.response.complete:',
+        'if False:',
         _SILENCE,
         _REAL,
     ),
