Cut nodes from all engines in soaks, and let sound engines fall silent

One proxy stood before each engine, so that an engine could be cut from all nodes but never one node from its engines: the fault that callers reported could not come up in a soak.

Each node now has a proxy of its own to each engine. The store and the nodes tell each other one address of an engine, so a node is started with a table of addresses that it connects to instead.

The new check compares the share of calls served at nodes without paths with that at the others.

--- a/pimentoway/soak/check.py
+++ b/pimentoway/soak/check.py
@@ -4,11 +4,12 @@
 import math
 
 from pimentoway.platform import recording_engine, soak_fixture
-from pimentoway.soak import caller
+from pimentoway.soak import caller, stage
 
 Outcomes = list[caller.Outcome]
 Runs = list[recording_engine.Run]
 Arrivals = list[recording_engine.Arrival]
+Partitions = list[stage.Partition]
 
 #: Seconds by which an answer may exceed the deadline of its request, because
 #: all processes of a soak share one host.
@@ -25,6 +26,20 @@
 NOTICE_SECONDS = 0.5
 MAX_LATE_REQUESTS = 2
 
+#: Seconds after the beginning of a partition, and after a disturbance of a
+#: node, in which its share doesn't count.
+PARTITION_SECONDS = 3
+
+#: The least share of its calls that nodes without paths serve, of the others'
+#: share, and the failures that are allowed whatever the share: a number, and
+#: so many of all calls.
+MIN_SERVED_RATIO = 2 / 3
+MAX_FAILURES = 10
+MAX_FAILED_SHARE = 0.02
+
+#: The fewest calls to the other nodes with which shares are compared.
+MIN_COMPARED_CALLS = 10
+
 SECONDS_PER_MILLISECOND = 0.001
 
 
@@ -129,6 +144,65 @@
     ]
 
 
+def list_unserved(outcomes: Outcomes, partitions: Partitions) -> list[str]:
+    """List the partitions in which callers of cut nodes were served far worse.
+
+    Args:
+        outcomes: The outcomes of the callers' requests.
+        partitions: The times in which nodes were cut from all engines.
+
+    Returns:
+        A sentence for each.
+    """
+    return [
+        f'{sorted(partition.nodes)}, cut from all engines '
+        f'{partition.start:.3f} to {partition.end:.3f}, served {sum(cut)} of '
+        f'{len(cut)} requests, the others {sum(others)} of {len(others)}'
+        for partition in partitions
+        for cut, others in (_split_served(outcomes, partition, partitions),)
+        if _is_unserved(cut, others)
+    ]
+
+
+def _split_served(
+    outcomes: Outcomes, partition: stage.Partition, partitions: Partitions
+) -> tuple[list[bool], list[bool]]:
+    # Whether each request was served: those to nodes of the partition, and
+    # those to nodes that were in none meanwhile.
+    unreaching = {
+        name
+        for other in partitions
+        if other.start < partition.end and partition.start < other.end
+        for name in other.nodes
+    }
+    cut = []
+    others = []
+    for outcome in outcomes:
+        name = outcome.node.settings.name
+        if not _counts_for(outcome, partition):
+            continue
+        if name in partition.nodes:
+            cut.append(outcome.ending is caller.Ending.exact)
+        elif name not in unreaching:
+            others.append(outcome.ending is caller.Ending.exact)
+    return cut, others
+
+
+def _counts_for(outcome: caller.Outcome, partition: stage.Partition) -> bool:
+    settled = outcome.sent_at - PARTITION_SECONDS
+    if settled < partition.start or outcome.sent_at >= partition.end:
+        return False
+    return not outcome.node.was_disturbed(settled, outcome.ended_at)
+
+
+def _is_unserved(cut: list[bool], others: list[bool]) -> bool:
+    failures = len(cut) - sum(cut)
+    allowed = MAX_FAILURES + MAX_FAILED_SHARE * (len(cut) + len(others))
+    if failures <= allowed or len(others) < MIN_COMPARED_CALLS:
+        return False
+    return sum(cut) / len(cut) < MIN_SERVED_RATIO * sum(others) / len(others)
+
+
 def list_failed_after_recovery(
     outcomes: Outcomes, recovered_at: float
 ) -> list[str]:
--- a/pimentoway/soak/check_test.py
+++ b/pimentoway/soak/check_test.py
@@ -7,7 +7,7 @@
 
 from pimentoway.core import clock
 from pimentoway.platform import recording_engine, soak_fixture
-from pimentoway.soak import caller, check, fault_plan, fleet
+from pimentoway.soak import caller, check, fault_plan, fleet, stage
 
 Ending = caller.Ending
 
@@ -137,6 +137,33 @@
     assert not check.list_ignored_notices(outcomes, arrivals)
 
 
+@pytest.mark.parametrize(
+    ('served', 'others', 'is_violation'),
+    [(9, 20, True), (13, 20, True), (14, 20, False), (10, 15, False)],
+)
+def test_unserved_partition_is_reported(
+    tmp_path: pathlib.Path, served: int, others: int, is_violation: bool
+) -> None:
+    """Callers of a node without paths must be served nearly as the others."""
+    cut = make_node(tmp_path)
+    other = make_node(tmp_path)
+    other.settings = dataclasses.replace(cut.settings, name='n2')
+    outcomes = [
+        make_outcome(
+            node,
+            ending=Ending.exact if number < count else Ending.status,
+        )
+        for node, count in ((cut, served), (other, others))
+        for number in range(30)
+    ]
+    outcomes.append(make_outcome(cut, sent_at=6.9, ending=Ending.status))
+    partition = stage.Partition(frozenset(('n1',)), 4, 12)
+    found = check.list_unserved(outcomes, [partition])
+    assert bool(found) == is_violation
+    everywhere = stage.Partition(frozenset(('n1', 'n2')), 11, 12)
+    assert not check.list_unserved(outcomes, [partition, everywhere])
+
+
 def test_seed_determines_the_plan() -> None:
     """Equal seeds give equal faults, in order; another seed gives others."""
     first = fault_plan.draw_plan(3, 10, 20)
--- a/pimentoway/soak/fault.py
+++ b/pimentoway/soak/fault.py
@@ -137,7 +137,7 @@
 
 @inject.register
 def _kill_node(fault: NodeKilled, testbed: stage.Testbed) -> None:
-    node = _find_node(fault, testbed).node
+    node = testbed.select_node(fault.target).node
     node.down_count += 1
     with node.record_disturbance():
         node.kill()
@@ -148,12 +148,12 @@
 
 @inject.register
 def _pause_node(fault: NodePaused, testbed: stage.Testbed) -> None:
-    _find_node(fault, testbed).node.pause(fault.seconds)
+    testbed.select_node(fault.target).node.pause(fault.seconds)
 
 
 @inject.register
 def _stop_node(fault: NodeStopped, testbed: stage.Testbed) -> None:
-    node = _find_node(fault, testbed).node
+    node = testbed.select_node(fault.target).node
     node.down_count += 1
     node.stop()
     gevent.sleep(fault.seconds)
@@ -163,7 +163,9 @@
 
 @inject.register
 def _reload_node(fault: NodeReloaded, testbed: stage.Testbed) -> None:
-    _find_node(fault, testbed).node.reload(f'changed at {fault.start:.3f}')
+    testbed.select_node(fault.target).node.reload(
+        f'changed at {fault.start:.3f}'
+    )
 
 
 @inject.register(StoreAway)
@@ -193,7 +195,7 @@
 
 @inject.register
 def _lose_engine(fault: EngineLost, testbed: stage.Testbed) -> None:
-    proxied = _find_engine(fault, testbed)
+    proxied = testbed.select_engine(fault.target)
     testbed.lose_engine(proxied)
     gevent.sleep(fault.seconds)
     testbed.restart_engine(proxied)
@@ -201,7 +203,7 @@
 
 @inject.register
 def _drain_engine(fault: EngineLeaves, testbed: stage.Testbed) -> None:
-    proxied = _find_engine(fault, testbed)
+    proxied = testbed.select_engine(fault.target)
     testbed.drain_engine(proxied)
     gevent.sleep(DRAIN_SECONDS)
     testbed.lose_engine(proxied)
@@ -211,7 +213,7 @@
 
 @inject.register
 def _announce_leaving(fault: EngineSaysLeaving, testbed: stage.Testbed) -> None:
-    proxied = _find_engine(fault, testbed)
+    proxied = testbed.select_engine(fault.target)
     proxied.engine.leaving = True
     gevent.sleep(DRAIN_SECONDS)
     testbed.lose_engine(proxied)
@@ -221,7 +223,7 @@
 
 @inject.register
 def _shed_requests(fault: EngineSheds, testbed: stage.Testbed) -> None:
-    engine = _find_engine(fault, testbed).engine
+    engine = testbed.select_engine(fault.target).engine
     engine.pause_seconds = PAUSE_SECONDS
     gevent.sleep(fault.seconds)
     engine.pause_seconds = 0
@@ -229,33 +231,36 @@
 
 @inject.register
 def _disturb_link(fault: LinkFault, testbed: stage.Testbed) -> None:
-    target_proxy = _find_proxy(fault, testbed)
-    target_proxy.was_disturbed = True
+    proxies = _list_proxies(fault, testbed)
+    for target_proxy in proxies:
+        _disturb(target_proxy, fault.how)
     if fault.how == 'reset':
-        target_proxy.reset()
         return
-    if fault.how == 'delay':
+    gevent.sleep(fault.seconds)
+    for disturbed in proxies:
+        disturbed.restore()
+
+
+def _disturb(target_proxy: proxy.Proxy, how: str) -> None:
+    target_proxy.was_disturbed = True
+    if how == 'reset':
+        target_proxy.reset()
+    elif how == 'delay':
         target_proxy.delay_seconds = DELAY_SECONDS
-    elif fault.how == 'refuse':
+    elif how == 'refuse':
         target_proxy.refuses_connections = True
-    elif fault.how == 'hold requests':
+    elif how == 'hold requests':
         target_proxy.holds_requests = True
     else:
         target_proxy.holds_answers = True
-    gevent.sleep(fault.seconds)
-    target_proxy.restore()
-
-
-def _find_node(fault: Fault, testbed: stage.Testbed) -> stage.ProxiedNode:
-    return testbed.nodes[fault.target % len(testbed.nodes)]
-
-
-def _find_engine(fault: Fault, testbed: stage.Testbed) -> stage.ProxiedEngine:
-    return testbed.engines[fault.target % len(testbed.engines)]
 
 
-def _find_proxy(fault: LinkFault, testbed: stage.Testbed) -> proxy.Proxy:
+def _list_proxies(
+    fault: LinkFault, testbed: stage.Testbed
+) -> list[proxy.Proxy]:
     if fault.part == 'engine':
-        return _find_engine(fault, testbed).proxy
-    proxied = _find_node(fault, testbed)
-    return proxied.store_proxy if fault.part == 'store' else proxied.node_proxy
+        return list(testbed.select_engine(fault.target).paths)
+    proxied = testbed.select_node(fault.target)
+    if fault.part == 'store':
+        return [proxied.store_proxy]
+    return [proxied.node_proxy]
--- a/pimentoway/soak/fleet.py
+++ b/pimentoway/soak/fleet.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import json
 import math
 import os
 import pathlib
@@ -15,6 +16,7 @@
 
 from pimentoway.core import clock
 from pimentoway.platform import setting, soak_fixture, wire
+from pimentoway.soak import mapped_node
 
 #: The shutdown grace in the settings of a node, in seconds.
 GRACE_SECONDS = 4
@@ -55,6 +57,8 @@
 
     Attributes:
         settings: Its settings.
+        proxies_by_address: The addresses of the proxies to which its
+            connections to other addresses go; read at each start.
         down_count: The number of active faults that keep it stopped.
         disturbances: When it was killed, paused or shut down.
         violations: Misbehaviour that no fault explains, a sentence each.
@@ -70,6 +74,7 @@
             folder: Where the settings and the logs are kept.
         """
         self.settings = settings
+        self.proxies_by_address: dict[str, str] = {}
         self.down_count = 0
         self.disturbances: list[Disturbance] = []
         self.violations: list[str] = []
@@ -91,8 +96,14 @@
             (self._folder / f'{name}.err').open('ab') as error_file,
         ):
             self._process = gevent_subprocess.Popen(
-                [sys.executable, '-m', 'pimentoway', 'edge'],
-                env={**os.environ, setting.PATH_VARIABLE: str(self._path)},
+                [sys.executable, '-m', mapped_node.__name__, 'edge'],
+                env={
+                    **os.environ,
+                    setting.PATH_VARIABLE: str(self._path),
+                    mapped_node.ADDRESSES_VARIABLE: json.dumps(
+                        self.proxies_by_address
+                    ),
+                },
                 stdout=log_file,
                 stderr=error_file,
             )
--- a/pimentoway/soak/path_proxy.py
+++ b/pimentoway/soak/path_proxy.py
@@ -9,7 +9,6 @@
 from gevent import socket as gevent_socket
 
 from pimentoway.soak import proxy
-from pimentoway.standin import port
 
 #: Options of Linux, which the socket module doesn't name.
 SO_ATTACH_FILTER = 26
@@ -22,37 +21,41 @@
 
 
 class Cut(enum.Enum):
-    """How a path is cut.
+    """How a path is cut."""
 
-    With all but ``hanging`` ones, new connections are refused.
-    """
-
-    # Open connections are closed.
+    # Open connections are closed, new ones are refused.
     refused = 'refused'
-    # Open connections are reset.
+    # Open connections are reset, new ones are refused.
     reset = 'reset'
-    # Open connections live on.
+    # Open connections live on, new ones are refused.
     kept = 'kept'
     # Nothing that is sent arrives or is acknowledged, on open and on new
     # connections.
     hanging = 'hanging'
+    # Connections and bytes are accepted, but not passed on.
+    silent = 'silent'
+
+
+#: The cuts that pass nothing on, and those that refuse new connections.
+HOLDING_CUTS = frozenset((Cut.hanging, Cut.silent))
+REFUSING_CUTS = frozenset((Cut.refused, Cut.reset, Cut.kept))
 
 
 class PathProxy(proxy.Proxy):
-    """Forwards the connections of one node to one engine."""
+    """Forwards the connections of one node to one engine.
+
+    Cuts may overlap; the path is whole when all have ended.
+    """
 
     def __init__(self, target: str) -> None:
-        """Listen on a free port, which stays the same after a cut.
+        """Listen on a free port, which it keeps while it refuses connections.
 
         Args:
             target: The IP address and port to which it forwards.
         """
+        self._cuts: list[Cut] = []
+        self._reserved: gevent_socket.socket | None = None
         super().__init__(target)
-        self._server.close()
-        self._own = ('127.0.0.1', port.find_ports(1))
-        self.address = f'{self._own[0]}:{self._own[1]}'
-        self._cut: Cut | None = None
-        self._listen()
 
     def cut(self, how: Cut) -> None:
         """Cut the path until ``mend``.
@@ -60,45 +63,74 @@
         Args:
             how: What becomes of open and of new connections.
         """
-        self.mend()
         self.was_disturbed = True
-        self._cut = how
-        if how is Cut.hanging:
-            self.holds_requests = True
-            self.holds_answers = True
-            for sock in (self._server.socket, *self._list_accepted()):
-                _set_option(sock, SO_ATTACH_FILTER, _FILTER_PROGRAM)
-            return
-        self._server.close()
+        self._cuts.append(how)
+        self._apply()
         if how is Cut.reset:
             self.reset()
         elif how is Cut.refused:
-            for open_sock in self._list_accepted():
-                open_sock.close()
-
-    def mend(self) -> None:
-        """End the cut; what was lost on the way is sent again by the kernel."""
-        if self._cut is Cut.hanging:
-            for sock in (self._server.socket, *self._list_accepted()):
-                _set_option(sock, SO_DETACH_FILTER, struct.pack('i', 0))
-        elif self._cut:
-            self._listen()
-        self._cut = None
-        self.restore()
-
-    def _listen(self) -> None:
-        self._server = gevent_server.StreamServer(self._own, self._handle)
-        self._server.start()
+            for sock in self._list_accepted():
+                sock.close()
+
+    def mend(self, how: Cut) -> None:
+        """End a cut; what was lost meanwhile is sent again by the kernel.
+
+        Args:
+            how: How the path was cut.
+        """
+        self._cuts.remove(how)
+        self._apply()
+
+    def _apply(self) -> None:
+        refuses = not REFUSING_CUTS.isdisjoint(self._cuts)
+        if refuses and not self._reserved:
+            own = self._find_own_address()
+            self._server.close()
+            # Another process must not get the port.
+            self._reserved = gevent_socket.socket()
+            _set_option(self._reserved, socket.SO_REUSEADDR, 1)
+            self._reserved.bind(own)
+        elif self._reserved and not refuses:
+            self._reserved.listen()
+            self._server = gevent_server.StreamServer(
+                self._reserved, self._handle
+            )
+            self._reserved = None
+            self._server.start()
+        listening = () if self._reserved else (self._server.socket,)
+        for sock in (*listening, *self._list_accepted()):
+            if Cut.hanging in self._cuts:
+                _set_option(sock, SO_ATTACH_FILTER, _FILTER_PROGRAM)
+            else:
+                _remove_filter(sock)
+
+    def _is_held(self, requests: bool) -> bool:
+        if HOLDING_CUTS.isdisjoint(self._cuts):
+            return super()._is_held(requests)
+        return True
 
     def _list_accepted(self) -> list[gevent_socket.socket]:
+        own = self._find_own_address()
         return [
             sock
             for sock in self._open_sockets
-            if sock.fileno() >= 0 and sock.getsockname() == self._own
+            if sock.fileno() >= 0 and sock.getsockname() == own
         ]
 
+    def _find_own_address(self) -> tuple[str, int]:
+        host, _, port = self.address.rpartition(':')
+        return host, int(port)
+
 
 def _set_option(
-    sock: gevent_socket.socket, option: int, option_value: bytes
+    sock: gevent_socket.socket, option: int, option_value: int | bytes
 ) -> None:
     sock.setsockopt(socket.SOL_SOCKET, option, option_value)
+
+
+def _remove_filter(sock: gevent_socket.socket) -> None:
+    try:
+        _set_option(sock, SO_DETACH_FILTER, 0)
+    except FileNotFoundError:
+        # It had none.
+        return
--- a/pimentoway/soak/play.py
+++ b/pimentoway/soak/play.py
@@ -176,12 +176,15 @@
     runs = [run for proxied in testbed.engines for run in proxied.engine.runs]
     violations = check.list_violations(load_generator.outcomes, runs)
     for proxied in testbed.engines:
-        if not proxied.proxy.was_disturbed:
+        if not proxied.was_disturbed:
             violations.extend(
                 check.list_ignored_notices(
                     load_generator.outcomes, proxied.engine.arrivals
                 )
             )
+    violations.extend(
+        check.list_unserved(load_generator.outcomes, testbed.partitions)
+    )
     for node in testbed.list_nodes():
         violations.extend(node.list_violations())
     return violations
--- a/pimentoway/soak/stage.py
+++ b/pimentoway/soak/stage.py
@@ -6,8 +6,9 @@
 import gevent
 
 from pimentoway.core import clock, deployment, registry
+from pimentoway.nodes import election
 from pimentoway.platform import memory_store, recording_engine, soak_fixture
-from pimentoway.soak import fleet, proxy
+from pimentoway.soak import fleet, path_proxy, proxy
 from pimentoway.standin import port
 
 #: The failure domains; nodes and engines are spread over them.
@@ -33,34 +34,60 @@
 
 @dataclasses.dataclass(eq=False)
 class ProxiedEngine:
-    """An engine that nodes reach through a proxy.
+    """An engine that each node reaches through a proxy of its own.
 
     Attributes:
         engine: The engine.
-        proxy: The proxy between nodes and the engine.
-        record: Its record in the store, with the address of the proxy.
+        record: Its record in the store.
+        paths: The proxies between the nodes, in their order, and the engine.
         registered: Whether it keeps its record in the store.
     """
 
     engine: recording_engine.RecordingEngine
-    proxy: proxy.Proxy
     record: deployment.Engine
+    paths: list[path_proxy.PathProxy] = dataclasses.field(default_factory=list)
     registered: bool = True
 
+    @property
+    def was_disturbed(self) -> bool:
+        """Tell whether a fault of its connections was ever injected.
+
+        Returns:
+            Whether one was, for any node.
+        """
+        return any(path.was_disturbed for path in self.paths)
+
 
 @dataclasses.dataclass(eq=False)
 class ProxiedNode:
-    """A node whose connections to the store and from nodes pass proxies.
+    """A node whose connections pass proxies, but for those of callers.
 
     Attributes:
         node: The node.
         store_proxy: The proxy between the node and the store.
         node_proxy: The proxy between other nodes and the node.
+        paths: The proxies between the node and the engines.
     """
 
     node: fleet.Node
     store_proxy: proxy.Proxy
     node_proxy: proxy.Proxy
+    paths: list[path_proxy.PathProxy]
+
+
+@dataclasses.dataclass(frozen=True)
+class Partition:
+    """A time in which nodes were cut from all engines.
+
+    Attributes:
+        nodes: The names of the nodes.
+        start: When it began, in seconds of the monotonic clock.
+        end: When it ended.
+    """
+
+    nodes: frozenset[str]
+    start: float
+    end: float
 
 
 class Testbed:
@@ -70,6 +97,7 @@
         store: The store.
         engines: The engines and their proxies.
         nodes: The nodes and their proxies.
+        partitions: The times in which nodes were cut from all engines.
         added_routes: The number of routes added to the first configuration.
         version: The version of the current configuration.
     """
@@ -92,6 +120,7 @@
             for zone in ZONES
             for number in range(ENGINES_PER_ZONE)
         ]
+        self.partitions: list[Partition] = []
         self.nodes: list[ProxiedNode] = []
         for number in range(nodes):
             self.nodes.append(self._add_node(number, folder))
@@ -109,6 +138,28 @@
         """
         return [proxied.node for proxied in self.nodes]
 
+    def select_node(self, number: int) -> ProxiedNode:
+        """Select a node by a number of any size.
+
+        Args:
+            number: Its index, modulo their number.
+
+        Returns:
+            The node.
+        """
+        return self.nodes[number % len(self.nodes)]
+
+    def select_engine(self, number: int) -> ProxiedEngine:
+        """Select an engine by a number of any size.
+
+        Args:
+            number: Its index, modulo their number.
+
+        Returns:
+            The engine.
+        """
+        return self.engines[number % len(self.engines)]
+
     def change_configuration(self) -> None:
         """Store a new version of the configuration with one more route."""
         self.version += 1
@@ -159,6 +210,42 @@
                 return missing
             gevent.sleep(READY_POLL_SECONDS)
 
+    def find_broker(self) -> str:
+        """Find the node whose broker the others use when all of them run.
+
+        Returns:
+            Its name.
+        """
+        peers = [
+            deployment.Peer(node.settings.name, node.settings.zone, '', 1)
+            for node in self.list_nodes()
+        ]
+        return election.order_peers(peers)[0].name
+
+    def cut_nodes(
+        self, names: frozenset[str], how: path_proxy.Cut, seconds: float
+    ) -> None:
+        """Cut nodes from all engines for some time.
+
+        Args:
+            names: The names of the nodes.
+            how: What becomes of their connections.
+            seconds: For how long.
+        """
+        paths = [
+            path
+            for proxied in self.nodes
+            if proxied.node.settings.name in names
+            for path in proxied.paths
+        ]
+        start = clock.read_monotonic()
+        for path in paths:
+            path.cut(how)
+        gevent.sleep(seconds)
+        for cut_path in paths:
+            cut_path.mend(how)
+        self.partitions.append(Partition(names, start, clock.read_monotonic()))
+
     def kill_nodes(self) -> None:
         """Kill all nodes."""
         for node in self.list_nodes():
@@ -176,8 +263,9 @@
         proxied.engine.crashing = True
         proxied.registered = False
         gevent.sleep(recording_engine.EVENT_GAP_SECONDS * 2)
-        proxied.proxy.refuses_connections = True
-        proxied.proxy.reset()
+        for path in proxied.paths:
+            path.refuses_connections = True
+            path.reset()
         self.store.remove(registry.Kind.engines, proxied.engine.name)
 
     def drain_engine(self, proxied: ProxiedEngine) -> None:
@@ -200,7 +288,8 @@
             proxied: The engine.
         """
         proxied.engine.restart()
-        proxied.proxy.restore()
+        for path in proxied.paths:
+            path.restore()
         proxied.record = dataclasses.replace(
             proxied.record,
             born=proxied.record.born + 1,
@@ -212,11 +301,10 @@
 
     def _add_engine(self, name: str, zone: str) -> ProxiedEngine:
         engine = recording_engine.RecordingEngine(name)
-        engine_proxy = proxy.Proxy(engine.address)
         record = deployment.Engine(
             name=name,
             service=soak_fixture.SERVICE,
-            address=engine_proxy.address,
+            address=engine.address,
             zone=zone,
             version='v1',
             slots=soak_fixture.SLOTS,
@@ -225,7 +313,7 @@
             born=1,
         )
         soak_fixture.put_engine(self.store, record)
-        return ProxiedEngine(engine, engine_proxy, record)
+        return ProxiedEngine(engine, record)
 
     def _add_node(self, number: int, folder: pathlib.Path) -> ProxiedNode:
         store_proxy = proxy.Proxy(self.store.address)
@@ -236,8 +324,8 @@
             port=port.find_ports(PORTS_PER_NODE),
             store=store_proxy.address,
             seeds=tuple(
-                proxied.node_proxy.address
-                for proxied in self.nodes[: len(ZONES)]
+                started.node_proxy.address
+                for started in self.nodes[: len(ZONES)]
             ),
             grace=fleet.GRACE_SECONDS,
         )
@@ -245,6 +333,11 @@
         self.store.substitute_address(
             settings.peers_address, node_proxy.address
         )
-        return ProxiedNode(
-            fleet.Node(settings, folder), store_proxy, node_proxy
-        )
+        node = fleet.Node(settings, folder)
+        paths = []
+        for proxied in self.engines:
+            path = path_proxy.PathProxy(proxied.engine.address)
+            node.proxies_by_address[proxied.engine.address] = path.address
+            proxied.paths.append(path)
+            paths.append(path)
+        return ProxiedNode(node, store_proxy, node_proxy, paths)
