--- a/pimentoway/platform/lostpath_process_test.py
+++ b/pimentoway/platform/lostpath_process_test.py
@@ -4,6 +4,7 @@
 and each engine.
 """
 
+import dataclasses
 import functools
 
 import gevent
@@ -18,6 +19,11 @@
 #: The nodes that are cut in turn; node 0 has the broker.
 CUT_NODES = (0, 1)
 
+SIZE = node_group.Size()
+
+#: The calls a second to each node.
+CALL_RATE = 10
+
 #: Seconds of calls before the cut that count, after a start that doesn't.
 START_SECONDS = 1
 CALM_SECONDS = 4
@@ -46,54 +52,85 @@
     Returns:
         What callers or engines saw that must not be, a sentence each.
     """
-    group = node_group.NodeGroup(unframed)
+    group = node_group.NodeGroup(SIZE, unframed)
     assert group.wait_until_attached()
-    group.call_all(START_SECONDS)
+    group.call_all(START_SECONDS, CALL_RATE)
     calm = clock.read_monotonic()
-    group.call_all(CALM_SECONDS)
+    group.call_all(CALM_SECONDS, CALL_RATE)
     cut_at = clock.read_monotonic()
     group.cut(cut_node, how)
-    group.call_all(SETTLE_SECONDS + COUNTED_SECONDS)
+    group.call_all(SETTLE_SECONDS + COUNTED_SECONDS, CALL_RATE)
     group.finish()
+    start = cut_at + SETTLE_SECONDS
+    cut_period = node_group.Period(start, start + COUNTED_SECONDS)
     return [
-        *list_shares(group, cut_node, calm, cut_at),
+        *list_losses(group, cut_node, (calm, cut_at), cut_period),
+        *list_differences(group, cut_node, cut_period),
         *list_wrong_runs(group),
     ]
 
 
-def list_shares(
-    group: node_group.NodeGroup, cut_node: int, calm: float, cut_at: float
+def list_losses(
+    group: node_group.NodeGroup,
+    cut_node: int,
+    calm: tuple[float, float],
+    cut_period: node_group.Period,
+) -> list[str]:
+    """Compare the share served at the other nodes with that before the cut.
+
+    Args:
+        group: The nodes, after the calls.
+        cut_node: The index of the cut node.
+        calm: When the calls before the cut counted.
+        cut_period: When those after the cut counted.
+
+    Returns:
+        A sentence if the share is too small.
+    """
+    others = list_others(cut_node)
+    before = group.measure_share(others, node_group.Period(*calm))
+    after = group.measure_share(others, cut_period)
+    if after >= MIN_OTHERS_RATIO * before:
+        return []
+    return [f'others {after:.3f}, before the cut {before:.3f}']
+
+
+def list_differences(
+    group: node_group.NodeGroup, cut_node: int, cut_period: node_group.Period
 ) -> list[str]:
-    """List the shares that are too small.
+    """Compare the shares served at the cut node with those at the others.
 
     Args:
         group: The nodes, after the calls.
         cut_node: The index of the cut node.
-        calm: When the calls before the cut began to count.
-        cut_at: When the paths were cut.
+        cut_period: When calls counted.
 
     Returns:
-        A sentence for each.
+        A sentence for each share that is too small, for all kinds and for each.
     """
-    others = [node for node in range(node_group.SIZE) if node != cut_node]
-    period = (
-        cut_at + SETTLE_SECONDS,
-        cut_at + SETTLE_SECONDS + COUNTED_SECONDS,
-    )
-    before = group.measure_share(others, calm, cut_at)
-    after = group.measure_share(others, *period)
     small = []
-    if after < MIN_OTHERS_RATIO * before:
-        small.append(f'others {after:.3f}, before the cut {before:.3f}')
     for kind in ('', *soak_fixture.REQUEST_KINDS):
-        own = group.measure_share([cut_node], *period, kind)
-        other = group.measure_share(others, *period, kind)
+        counted = dataclasses.replace(cut_period, kind=kind)
+        own = group.measure_share([cut_node], counted)
+        other = group.measure_share(list_others(cut_node), counted)
         ratio = MIN_KIND_RATIO if kind else MIN_CUT_RATIO
         if own < ratio * other:
             small.append(f'cut node {kind}: {own:.3f}, others {other:.3f}')
     return small
 
 
+def list_others(cut_node: int) -> list[int]:
+    """List the nodes that are not cut.
+
+    Args:
+        cut_node: The index of the cut node.
+
+    Returns:
+        Their indexes.
+    """
+    return [node for node in range(SIZE.nodes) if node != cut_node]
+
+
 def list_wrong_runs(group: node_group.NodeGroup) -> list[str]:
     """List the calls whose runs break a promise.
 
--- a/pimentoway/platform/node_group.py
+++ b/pimentoway/platform/node_group.py
@@ -25,8 +25,8 @@
 from pimentoway.standin import port
 from pimentoway.tools import edge
 
-#: Nodes and engines; each has a failure domain of its own.
-SIZE = 3
+#: The number of failure domains; nodes and engines are spread over them.
+ZONES = 3
 
 #: The ports that a node may use.
 PORTS_PER_NODE = 10
@@ -34,17 +34,16 @@
 #: The cores of the node whose broker all use; the others have one.
 BROKER_CORES = 2
 
-#: Seconds between two calls to one node.
-CALL_SECONDS = 0.1
-
 #: The most connections to an engine, and the most requests of the customer.
 MAX_REQUESTS = 300
 
 #: The target of all routes for the gap between two events of a stream.
 GAP_TARGET_SECONDS = 0.3
 
-#: Seconds within which the nodes must use one broker after their start.
+#: Seconds within which the nodes must use one broker after their start, and
+#: between two checks whether they do.
 ATTACH_SECONDS = 8
+CHECK_SECONDS = 0.1
 
 _REVISION = 1
 
@@ -187,6 +186,50 @@
         """
 
 
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """The size of a group.
+
+    Attributes:
+        nodes: The number of nodes.
+        engines: The number of engines.
+        slots: The requests that an engine runs at once.
+    """
+
+    nodes: int = 3
+    engines: int = 3
+    slots: int = soak_fixture.SLOTS
+
+
+@dataclasses.dataclass(frozen=True)
+class Period:
+    """Which calls count.
+
+    Attributes:
+        start: The monotonic time from which calls sent to a node count.
+        end: The monotonic time at which they no longer do.
+        kind: The kind of the calls; empty for all kinds.
+        seconds: The longest time of an answer that counts as served.
+    """
+
+    start: float
+    end: float
+    kind: str = ''
+    seconds: float = caller.ANSWER_TIMEOUT_SECONDS
+
+    def includes(self, outcome: 'Outcome') -> bool:
+        """Tell whether a call counts.
+
+        Args:
+            outcome: The call.
+
+        Returns:
+            Whether it was sent in this time and is of the kind.
+        """
+        sent = self.start <= outcome.sent_at < self.end
+        return sent and self.kind in {'', outcome.kind}
+
+
 @dataclasses.dataclass(frozen=True)
 class Outcome:
     """A call and how it ended.
@@ -222,24 +265,27 @@
         outcomes: The calls that have ended.
     """
 
-    def __init__(self, unframed: bool = False) -> None:
+    def __init__(self, size: Size, unframed: bool = False) -> None:
         """Start the engines and the nodes.
 
         Args:
+            size: The size of the group.
             unframed: Whether half of the streams end with their connection, so
                 that the end of a path can look like the end of an answer.
         """
         self.engines = [
-            _start_engine(f'e{number}', unframed) for number in range(SIZE)
+            _start_engine(f'e{number}', unframed)
+            for number in range(size.engines)
         ]
         self.proxies = [
             [path_proxy.PathProxy(engine.address) for engine in self.engines]
-            for _ in range(SIZE)
+            for _ in range(size.nodes)
         ]
+        self._size = size
         self.outcomes: list[Outcome] = []
         self._board = PeerBoard()
         self._tasks: set[gevent.Greenlet] = set()
-        self.nodes = [self._start_node(number) for number in range(SIZE)]
+        self.nodes = [self._start_node(number) for number in range(size.nodes)]
 
     def wait_until_attached(self) -> bool:
         """Wait until all nodes use the broker of node 0.
@@ -249,10 +295,10 @@
         """
         end = clock.read_monotonic() + ATTACH_SECONDS
         while clock.read_monotonic() < end:
-            gevent.sleep(CALL_SECONDS)
+            gevent.sleep(CHECK_SECONDS)
             attached = sum(node.slots.is_remote for node in self.nodes)
             ready = all(node.is_ready() for node in self.nodes)
-            if ready and attached == SIZE - 1:
+            if ready and attached == self._size.nodes - 1:
                 return not self.nodes[0].slots.is_remote
         return False
 
@@ -266,36 +312,33 @@
         for path in self.proxies[node]:
             path.cut(how)
 
-    def call_all(self, seconds: float) -> None:
-        """Call each node every ``CALL_SECONDS``, all kinds in turn.
+    def call_all(self, seconds: float, rate: float) -> None:
+        """Call each node at a steady rate, all kinds in turn.
 
         Args:
             seconds: For how long; the last calls may go on.
+            rate: The calls a second to each node.
         """
         end = clock.read_monotonic() + seconds
         for kind in itertools.cycle(soak_fixture.REQUEST_KINDS):
             if clock.read_monotonic() >= end:
                 return
-            for node in range(SIZE):
+            for node in range(self._size.nodes):
                 task = gevent.spawn(self._call, node, kind)
                 self._tasks.add(task)
                 task.link(self._tasks.discard)
-                gevent.sleep(CALL_SECONDS / SIZE)
+                gevent.sleep(1 / (rate * self._size.nodes))
 
     def finish(self) -> None:
         """Wait until all calls have ended."""
         gevent.joinall(tuple(self._tasks), raise_error=True)
 
-    def measure_share(
-        self, nodes: list[int], start: float, end: float, kind: str = ''
-    ) -> float:
+    def measure_share(self, nodes: list[int], period: Period) -> float:
         """Measure the share of calls that were answered whole.
 
         Args:
             nodes: The indexes of the called nodes.
-            start: The monotonic time from which sent calls count.
-            end: The monotonic time at which they no longer do.
-            kind: The kind of the calls; empty for all kinds.
+            period: Which calls count.
 
         Returns:
             The share.
@@ -303,14 +346,13 @@
         counted = [
             outcome
             for outcome in self.outcomes
-            if outcome.node in nodes
-            and start <= outcome.sent_at < end
-            and kind in {'', outcome.kind}
+            if outcome.node in nodes and period.includes(outcome)
         ]
         served = [
             outcome
             for outcome in counted
             if outcome.ending is caller.Ending.exact
+            and outcome.seconds <= period.seconds
         ]
         return len(served) / len(counted)
 
@@ -337,12 +379,14 @@
         )
         settings = dataclasses.replace(
             setting.decode_settings(settings_file.render_toml(name).encode()),
-            zones=tuple(_name_zone(index) for index in range(SIZE)),
+            zones=tuple(_name_zone(index) for index in range(ZONES)),
             cores=1 if number else BROKER_CORES,
         )
         platform = edge.Platform(
             GroupRegistry(
-                self._board, _make_configuration(), self._list_engines(number)
+                self._board,
+                _make_configuration(self._size.slots),
+                self._list_engines(number),
             ),
             wire.DIALECT,
             lambda: settings,
@@ -359,7 +403,7 @@
                 path.address,
                 _name_zone(number),
                 'v1',
-                soak_fixture.SLOTS,
+                self._size.slots,
                 False,
                 0,
                 1,
@@ -409,10 +453,10 @@
 
 
 def _name_zone(number: int) -> str:
-    return f'z{number}'
+    return f'z{number % ZONES}'
 
 
-def _make_configuration() -> deployment.Deployment:
+def _make_configuration(slots: int) -> deployment.Deployment:
     customer = deployment.Customer(
         'studio', (soak_fixture.KEY,), None, 0, 0, True, MAX_REQUESTS
     )
@@ -420,11 +464,7 @@
     return deployment.Deployment(
         1,
         tuple(_make_route(kind) for kind in soak_fixture.REQUEST_KINDS),
-        {
-            service: deployment.Service(
-                service, MAX_REQUESTS, 0, soak_fixture.SLOTS
-            )
-        },
+        {service: deployment.Service(service, MAX_REQUESTS, 0, slots)},
         {'studio': customer},
         deployment.CallerLimits(idle_seconds=4, header_seconds=1),
     )
--- a/pimentoway/tools/launch.py
+++ b/pimentoway/tools/launch.py
@@ -76,6 +76,16 @@
     return importlib.import_module('pimentoway.tools.decision').run()
 
 
+def main_partition() -> int:
+    """Measure nodes that have lost their paths to all back ends.
+
+    Returns:
+        The exit status.
+    """
+    monkey.patch_all()
+    return importlib.import_module('pimentoway.tools.partition').run()
+
+
 def main_soak() -> int:
     """Run soak tests: SECONDS each, with FAULTS faults, one for each SEED.
 
