Decode how many rejections a back end bears

Back ends state it in all their answers. Numbers out of bounds count as the nearest bound, of several the smallest counts, and other values are ignored; all of these are logged and counted. Nothing uses the number yet.

--- a/pimentoway/callers/notice_reader.py
+++ b/pimentoway/callers/notice_reader.py
@@ -78,6 +78,7 @@
     for name, given in (
         ('leaving', notices.leaving),
         ('pause', notices.pause_seconds),
+        ('brittle', notices.tolerated_rejections is not None),
         ('unreadable', notices.unreadable),
     ):
         if given:
--- a/pimentoway/core/call.py
+++ b/pimentoway/core/call.py
@@ -129,13 +129,16 @@
         leaving: Whether it is shutting down and wants no new requests.
         pause_seconds: How long it wants no request from this node, after it
             turned one away; 0 if it states no time.
-        unreadable: The values of notices that are ignored, shortened; '' if
-            all were read.
+        unreadable: The values of notices that are ignored, or used within
+            bounds only, shortened; '' if all were read.
+        tolerated_rejections: How many requests a second it can turn away for
+            want of room without failing; ``None`` if it states no limit.
     """
 
     leaving: bool = False
     pause_seconds: float = 0
     unreadable: str = ''
+    tolerated_rejections: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pimentoway/core/metric.py
+++ b/pimentoway/core/metric.py
@@ -68,7 +68,8 @@
 ENGINE_NOTICES = prometheus_client.Counter(
     'pimentoway_engine_notices',
     'Answers of back ends that announce that they leave, that they want no '
-    'requests for some time, or something unreadable.',
+    'requests for some time, that they can reject few, or something '
+    'unreadable.',
     ['notice'],
 )
 
--- a/pimentoway/platform/wire_test.py
+++ b/pimentoway/platform/wire_test.py
@@ -1,6 +1,7 @@
 """Tests of translating the platform's HTTP headers."""
 
 import pytest
+from hypothesis import given, strategies
 
 from pimentoway.core import call, deployment, message
 from pimentoway.platform import notice_header, wire
@@ -281,6 +282,17 @@
                 leaving=True, unreadable="b'Fri, 4 Dec 2026 01:02:03 GMT'"
             ),
         ),
+        (200, b'Server-Brittle: 2', call.Notices(tolerated_rejections=2)),
+        (503, b'server-brittle:  0 ', call.Notices(tolerated_rejections=0)),
+        (404, b'Server-Brittle: 9', call.Notices(tolerated_rejections=9)),
+        (421, b'Server-Brittle: 9', call.Notices()),
+        (200, b'Server-Brittle: soon', call.Notices(unreadable="b'soon'")),
+        (200, b'Server-Brittle:', call.Notices(unreadable="b''")),
+        (
+            200,
+            b'Server-Brittle: 5\r\nServer-Brittle: 3',
+            call.Notices(unreadable="b'5, 3'", tolerated_rejections=3),
+        ),
     ],
 )
 def test_notices_are_decoded(
@@ -291,6 +303,34 @@
     assert read_metadata(head).notices == notices
 
 
+# A number that is negative or too large for the messages between nodes would
+# end the limit, or the link to the broker.
+@given(strategies.integers(), strategies.sampled_from(['', '.5', ', x']))
+def test_tolerated_rejections_are_bounded(number: int, rest: str) -> None:
+    """A number out of bounds counts as the nearest one, and is logged."""
+    text = f'{number}{rest}'.encode()
+    head = b'HTTP/1.1 200 Status\r\nServer-Brittle: %s' % text
+    notices = read_metadata(head).notices
+    bound = notice_header.MAX_TOLERATED_REJECTIONS
+    assert notices.tolerated_rejections == max(0, min(number, bound))
+    is_plain = not rest and 0 <= number <= bound
+    assert bool(notices.unreadable) != is_plain
+
+
+@given(strategies.binary(max_size=60))
+def test_odd_brittle_values_raise_no_error(text: bytes) -> None:
+    """Whatever a back end says, the number is bounded and the log is short."""
+    answer = message.Answer()
+    answer.headers.append((b'Server-Brittle', text))
+    notices = notice_header.read_notices(answer)
+    limit = notice_header.MAX_UNREADABLE_LENGTH
+    assert len(notices.unreadable) <= 4 * limit + len("b''")
+    assert notices.tolerated_rejections in {
+        None,
+        *range(notice_header.MAX_TOLERATED_REJECTIONS + 1),
+    }
+
+
 def test_unreadable_notice_is_shortened() -> None:
     """A long or often repeated header does not fill the log."""
     lines = [b'Retry-After: %d soon' % number for number in range(90)]
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -13,6 +13,7 @@
 import tempfile
 
 from pimentoway.tools import (
+    brittle_guard,
     edge_guard,
     guard_text,
     input_guard,
@@ -46,6 +47,7 @@
 _ROLLOUT = 'pimentoway/tools/rollout_proof_test.py'
 
 GUARDS = (
+    *brittle_guard.GUARDS,
     *edge_guard.GUARDS,
     *input_guard.GUARDS,
     *notice_guard.GUARDS,
