--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -19,6 +19,7 @@
     input_guard,
     notice_guard,
     recovery_guard,
+    silence_guard,
 )
 
 #: Number of copies tested in parallel.
@@ -52,6 +53,7 @@
     *input_guard.GUARDS,
     *notice_guard.GUARDS,
     *recovery_guard.GUARDS,
+    *silence_guard.GUARDS,
     guard_text.Guard(
         'claim before dispatch',
         'ops/claimlog.py',
