--- a/pimentoway/core/metric.py
+++ b/pimentoway/core/metric.py
@@ -68,7 +68,8 @@
 ENGINE_NOTICES = prometheus_client.Counter(
     'pimentoway_engine_notices',
     'Answers of back ends that announce that they leave, that they want no '
-    'requests for some time, or something unreadable.',
+    'requests for some time, that they can reject few, or something '
+    'unreadable.',
     ['notice'],
 )
 
@@ -84,6 +85,12 @@
     ['direction'],
 )
 
+BRITTLE_REJECTIONS = prometheus_client.Counter(
+    'pimentoway_brittle_rejections',
+    'Requests that back ends that bear few rejections rejected.',
+    ['backend'],
+)
+
 SLOT_DECISIONS = prometheus_client.Counter(
     'pimentoway_slot_decisions',
     'Slots granted and refused by this broker, by tier and by the estimated '
--- a/pimentoway/ops/enginestate.py
+++ b/pimentoway/ops/enginestate.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from pimentoway.core import clock, deployment, log
-from pimentoway.ops import pathtable, slot, window
+from pimentoway.ops import brittle, pathtable, slot, window
 
 #: Consecutive faults after which a back end is paused.
 FAULTS_UNTIL_PAUSE = 2
@@ -89,6 +89,7 @@
         paused_until: The monotonic time at which a pause ends.
         doubted_since: When a node reported a fault that others have to
             confirm, on the monotonic clock; 0 if none did.
+        limit: What it gets if it can reject few requests.
     """
 
     def __init__(self, engine: deployment.Engine) -> None:
@@ -100,6 +101,7 @@
         now = clock.read_monotonic()
         self._first_seen = now
         self.engine = engine
+        self.limit = brittle.Limit(engine.name)
         self.run_by_key: dict[RunKey, Run] = {}
         self.relative_duration = 1.0
         self.failure_rate: float = 0
@@ -135,6 +137,7 @@
             self.run_by_key.clear()
             self.clear_faults()
             self.failure_rate = 0
+            self.limit.expect(self.limit.tolerated)
         return restarted or moved
 
     def clear_faults(self) -> None:
@@ -166,7 +169,7 @@
             share: The fraction of the nodes that use this broker.
 
         Returns:
-            The slots, at least 1.
+            The slots; 0 only if the back end must be spared.
         """
         return self.measure_slots(share, clock.read_monotonic())[0]
 
@@ -190,14 +193,16 @@
 
         Returns:
             The usable slots, and the free ones among them; none is free
-            while the back end is paused.
+            while the back end is paused or must be spared.
         """
         slots = self._count_usable(share, now)
-        if now < self.paused_until:
+        slots = self.limit.bound_slots(slots, share)
+        running = self.limit.count_occupied(len(self.run_by_key))
+        if now < self.paused_until or not self.limit.may_start(running, share):
             return slots, 0
         # After a pause, one request at a time probes the back end.
         allowed = 1 if self._fault_count >= FAULTS_UNTIL_PAUSE else slots
-        unused = max(0, allowed - len(self.run_by_key))
+        unused = max(0, allowed - running)
         if self.doubted_since:
             unused = min(unused, self._count_probes(now))
         return slots, unused
@@ -254,6 +259,7 @@
         """
         self.run_by_key[key] = Run(request, clock.read_monotonic(), via)
         self._recent_starts.add()
+        self.limit.note_start(key, len(self.run_by_key))
 
     def keep_runs(
         self, requester: str, kept: collections.abc.Container[RunKey]
@@ -289,6 +295,7 @@
             The run; nothing if it was not known.
         """
         run = self.run_by_key.pop(key, None)
+        self.limit.note_end(key, report, len(self.run_by_key))
         self._record_load(report)
         paused_until = self.paused_until
         self._record_outcome(report.outcome, judgement)
@@ -361,7 +368,9 @@
     ) -> None:
         now = clock.read_monotonic()
         if outcome is slot.Outcome.shed:
-            self.paused_until = max(self.paused_until, now + FULL_PAUSE_SECONDS)
+            if self.limit.tolerated is None:
+                pause = now + FULL_PAUSE_SECONDS
+                self.paused_until = max(self.paused_until, pause)
         elif outcome is slot.Outcome.answered:
             self._fault_count = 0
             self.doubted_since = 0
