Hand a stream over only to a back end that shows a sign of life

When all back ends were silent at once, a stream was left to another silent one 0.3 s after it was offered, as the kernel there had the request; it was broken off or answered with 504 although the first back end went on 0.3 s later.

A check of the other back end now begins with the offer. Unless its answer has begun or the check was answered after 0.3 s, the offer ends and the first back end keeps its run. test_silent_engine_takes_over_no_stream: two cases, both failed before, pass now. Through a relay there is no check; there the acknowledgement decides, as before.

--- a/pimentoway/backends/liveness.py
+++ b/pimentoway/backends/liveness.py
@@ -7,6 +7,7 @@
 
 import collections
 import contextlib
+import enum
 
 import gevent
 from gevent import socket as gevent_socket
@@ -25,6 +26,17 @@
 ]
 
 
+class Liveness(enum.Enum):
+    """What a check found."""
+
+    # The back end answered.
+    alive = 'alive'
+    # It did nothing in time.
+    silent = 'silent'
+    # It refuses connections or closes them without an answer.
+    crashed = 'crashed'
+
+
 class LivenessChecker:
     """Checks back ends, each at most once at a time."""
 
@@ -48,54 +60,67 @@
         self._on_answer = on_answer
         self._check_by_address: dict[str, gevent.Greenlet] = {}
 
-    def has_crashed(self, engine: deployment.Engine) -> bool:
-        """Check a back end that has just closed a connection.
+    def start(self, engine: deployment.Engine) -> gevent.Greenlet | None:
+        """Start to check a back end, unless it is being checked.
 
         Args:
             engine: The back end.
 
         Returns:
-            Whether it refuses connections or closes them without an answer.
+            The check, whose value is a ``Liveness``; nothing if the back end
+            may get no request.
         """
         check = self._check_by_address.get(engine.address)
-        if check is None:
-            if not self._may_use(engine):
-                return False
+        if check is None and self._may_use(engine):
             check = gevent.spawn(self._check, engine)
             self._check_by_address[engine.address] = check
             check.rawlink(
                 lambda ended: self._check_by_address.pop(engine.address)
             )
-        return check.get()
+        return check
+
+    def has_crashed(self, engine: deployment.Engine) -> bool:
+        """Check a back end that has just closed a connection.
+
+        Args:
+            engine: The back end.
+
+        Returns:
+            Whether it refuses connections or closes them without an answer.
+        """
+        check = self.start(engine)
+        return check is not None and check.get() is Liveness.crashed
 
-    def _check(self, engine: deployment.Engine) -> bool:
+    def _check(self, engine: deployment.Engine) -> Liveness:
         reader = message.AnswerReader()
-        refuses = _probe(engine.address, self._probe, reader)
+        found = _probe(engine.address, self._probe, reader)
         if _has_head(reader):
             self._on_answer(engine, reader.answers[0])
-        return refuses
+        return found
 
 
-def _probe(address: str, probe: bytes, reader: message.AnswerReader) -> bool:
-    # Returns whether the peer refuses or closes a new connection; false also
-    # if it does nothing in CHECK_SECONDS.
+def _probe(
+    address: str, probe: bytes, reader: message.AnswerReader
+) -> Liveness:
     try:
         sock = connection.connect(address, CHECK_SECONDS)
     except error.ConnectError as fault:
-        return isinstance(fault.__cause__, ConnectionError)
+        if isinstance(fault.__cause__, ConnectionError):
+            return Liveness.crashed
+        return Liveness.silent
     with sock:
         sock.settimeout(CHECK_SECONDS)
         try:
             sock.sendall(probe)
             received = sock.recv(RECEIVE_BYTES)
         except TimeoutError:
-            return False
+            return Liveness.silent
         except OSError:
-            return True
+            return Liveness.crashed
         # Any byte shows that the peer runs, whatever follows.
         with contextlib.suppress(OSError, error.ConnectionLostError):
             _read_head(sock, received, reader)
-        return not received
+        return Liveness.alive if received else Liveness.crashed
 
 
 def _read_head(
--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -1,6 +1,8 @@
 """One attempt to serve a request at a back end."""
 
-from pimentoway.backends import channel
+import gevent
+
+from pimentoway.backends import channel, liveness
 from pimentoway.callers import (
     attempt_error,
     exchange,
@@ -52,6 +54,7 @@
         """
         self._context = context
         self._exchange = started
+        self._check: gevent.Greenlet | None = None
 
     @property
     def conn(self) -> channel.Channel:
@@ -68,6 +71,7 @@
         Args:
             deadline: The monotonic time at which sending is given up.
         """
+        self._check = self._exchange.path.start_check()
         try:
             self._exchange.send(deadline)
         except _CUT_ERRORS as fault:
@@ -94,13 +98,19 @@
             raise self._exchange.make_retry()
         return True
 
-    def check_reached(self) -> None:
-        """Check that the kernel of the back end has the whole request.
+    def check_alive(self) -> None:
+        """Check that the back end has the whole request and is not silent.
 
-        If it has not, ``RetryError`` is raised: the back end is no reason to
-        leave another one, which may go on.
+        If its kernel lacks some of it, or the process has not answered the
+        check that began with the offer, ``RetryError`` is raised: the back end
+        is no reason to leave another one, which may go on.
         """
-        if not self._exchange.conn.is_acknowledged():
+        # A check that has ended is false as a greenlet.
+        is_silent = (
+            self._check is not None
+            and self._check.value is not liveness.Liveness.alive
+        )
+        if is_silent or not self._exchange.conn.is_acknowledged():
             raise self._exchange.make_retry()
 
     def run(self) -> str:
--- a/pimentoway/callers/backendpath.py
+++ b/pimentoway/callers/backendpath.py
@@ -3,6 +3,8 @@
 import dataclasses
 import math
 
+import gevent
+
 from pimentoway.backends import channel, liveness
 from pimentoway.callers import notice_reader, request_context
 from pimentoway.core import call, deployment, error, message
@@ -172,6 +174,17 @@
             notices = dataclasses.replace(notices, pause_seconds=0)
         self._dependencies.notices.read(self._engine, notices)
 
+    def start_check(self) -> gevent.Greenlet | None:
+        """Start to check whether the back end shows a sign of life.
+
+        Returns:
+            The check, whose value is a ``liveness.Liveness``; nothing if the
+            back end can't be checked on this way.
+        """
+        if self.via:
+            return None
+        return self._dependencies.liveness_checker.start(self._engine)
+
     def has_crashed(self, fault: error.ConnectionLostError) -> bool:
         """Tell whether the back end crashed when its connection broke.
 
--- a/pimentoway/callers/handover.py
+++ b/pimentoway/callers/handover.py
@@ -49,8 +49,8 @@
     def is_accepted(self) -> bool:
         """Tell whether the answer has begun; raises ``RetryError`` if not."""
 
-    def check_reached(self) -> None:
-        """Raise ``RetryError`` if the back end can't be reached."""
+    def check_alive(self) -> None:
+        """Raise ``RetryError`` if the back end shows no sign of life."""
 
     def run(self) -> str:
         """Send the request, unless that was done, and forward the answer."""
@@ -178,7 +178,7 @@
             if attempt.is_accepted():
                 raise attempt_error.HandedOverError
             if clock.read_monotonic() >= end:
-                attempt.check_reached()
+                attempt.check_alive()
                 raise attempt_error.HandedOverError
             self._wake.clear()
             channel.wait_for_input((conn, attempt.conn), self._wake, end)
--- a/pimentoway/platform/scripted_engine.py
+++ b/pimentoway/platform/scripted_engine.py
@@ -91,6 +91,7 @@
         abandoned: The requests whose connection the peer closed while it was
             silent.
         resets: Those among them whose connection was reset.
+        answers_reports: Whether it answers requests for its load report.
     """
 
     def __init__(self, name: str, *scripts: Script) -> None:
@@ -104,6 +105,7 @@
         self.scripts = collections.deque(scripts or (Script(),))
         self.requests: list[message.Request] = []
         self.abandoned = 0
+        self.answers_reports = True
         self.resets = 0
         self._server = gevent_server.StreamServer(
             ('127.0.0.1', 0),
@@ -136,7 +138,8 @@
         while self._read_request(sock, reader):
             request = reader.requests.popleft()
             if request.target == REPORT_PATH:
-                sock.sendall(REPORT_ANSWER)
+                if self.answers_reports:
+                    sock.sendall(REPORT_ANSWER)
                 continue
             self.requests.append(request)
             script = self.scripts[0]
--- a/pimentoway/platform/silent_process_test.py
+++ b/pimentoway/platform/silent_process_test.py
@@ -291,6 +291,23 @@
     check_whole(call.get())
 
 
+# A stream was left to a back end that had fallen silent, too: its kernel had
+# the request, but the process showed no sign of life.
+@pytest.mark.parametrize('silent_after', [-1, 2])
+def test_silent_engine_takes_over_no_stream(silent_after: int) -> None:
+    """The stream stays with the back end that was silent first."""
+    one = scripted_engine.ScriptedEngine('e1', make_stream(1.8, silent_after))
+    harness = edge_process_test.NodeHarness(one)
+    call = gevent.spawn(harness.call, RESUMABLE)
+    while not one.requests:
+        gevent.sleep(0)
+    two = scripted_engine.ScriptedEngine('e2', Script(silent=True))
+    two.answers_reports = False
+    harness.add(two)
+    check_whole(call.get())
+    assert len(two.requests) == two.abandoned == 1
+
+
 # Another back end whose kernel does not answer took over from a silent one.
 def test_unreachable_engine_takes_over_no_stream(
     monkeypatch: pytest.MonkeyPatch,
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -200,8 +200,8 @@
     guard_text.Guard(
         'a back end that answers has not crashed',
         'backends/liveness.py',
-        'return not received',
-        'return True',
+        'return Liveness.alive if received else Liveness.crashed',
+        'return Liveness.crashed',
         'pimentoway/backends/liveness_process_test.py',
         _REAL,
     ),
--- a/pimentoway/tools/notice_guard.py
+++ b/pimentoway/tools/notice_guard.py
@@ -42,8 +42,8 @@
     guard_text.Guard(
         'a back end that wants no requests is not checked',
         'backends/liveness.py',
-        'if not self._may_use(engine):',
-        _NEVER,
+        'if check is None and self._may_use(engine):',
+        'if check is None:',
         'pimentoway/backends/liveness_process_test.py',
         _REAL,
     ),
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -70,11 +70,19 @@
     guard_text.Guard(
         'an unreachable back end takes over no run',
         'callers/handover.py',
-        '                attempt.check_reached()\n',
+        '                attempt.check_alive()\n',
         '',
         _SILENCE,
         _REAL,
     ),
+    guard_text.Guard(
+        'a silent back end takes over no run',
+        'callers/backend_attempt.py',
+        'if is_silent or not self._exchange.conn.is_acknowledged():',
+        'if not self._exchange.conn.is_acknowledged():',
+        _SILENCE,
+        _REAL,
+    ),
     guard_text.Guard(
         'the end of a node ends a request that is offered',
         'callers/backend_attempt.py',
