Keep nodes that lose their paths together from confirming each other

A pause that several nodes confirmed now ends with the next answer to any node, faults of runs that started before it don't extend it, and an answer within a second of the faults shows that their nodes' paths are to blame. Until then others probe the back end, not the nodes that reported it.

--- a/pimentoway/ops/enginestate.py
+++ b/pimentoway/ops/enginestate.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from pimentoway.core import clock, deployment, log
-from pimentoway.ops import pathtable, slot, window
+from pimentoway.ops import pathrecord, pathtable, slot, window
 
 #: Consecutive faults after which a back end is paused.
 FAULTS_UNTIL_PAUSE = 2
@@ -43,6 +43,9 @@
     (pathtable.Judgement.engine, pathtable.Judgement.confirmed)
 )
 
+#: The outcomes that show that a back end is up.
+ANSWERED_OUTCOMES = frozenset((slot.Outcome.answered, slot.Outcome.failed))
+
 _LOG = log.Log('broker')
 
 
@@ -106,6 +109,7 @@
         self.paused_until: float = 0
         self.doubted_since: float = 0
         self._fault_count = 0
+        self._confirmed_at: float = 0
         self._foreign_requests = 0
         self._load_time = float('-inf')
         self._cold_until = now + engine.cold_seconds
@@ -142,6 +146,7 @@
         self.paused_until = 0
         self.doubted_since = 0
         self._fault_count = 0
+        self._confirmed_at = 0
 
     def has_new_run(self, requester: str) -> bool:
         """Tell whether a node's requests must wait for the one that it sent.
@@ -360,20 +365,27 @@
         self, outcome: slot.Outcome, judgement: pathtable.Judgement
     ) -> None:
         now = clock.read_monotonic()
+        if outcome in ANSWERED_OUTCOMES:
+            self._clear_refuted(now)
         if outcome is slot.Outcome.shed:
             self.paused_until = max(self.paused_until, now + FULL_PAUSE_SECONDS)
         elif outcome is slot.Outcome.answered:
-            self._fault_count = 0
-            self.doubted_since = 0
             self.failure_rate -= SMOOTHING * self.failure_rate
         elif outcome is slot.Outcome.failed:
-            # An error response still shows that the back end is up.
-            self._fault_count = 0
-            self.doubted_since = 0
             self.failure_rate += SMOOTHING * (1 - self.failure_rate)
         elif outcome in slot.FAULT_OUTCOMES:
             self._record_judged_fault(outcome, judgement, now)
 
+    def _clear_refuted(self, now: float) -> None:
+        # An error response, too, shows that the back end is up.
+        if self._confirmed_at and (
+            now - self._confirmed_at > pathrecord.PROOF_SECONDS
+        ):
+            self.paused_until = 0
+            self._confirmed_at = 0
+        self._fault_count = 0
+        self.doubted_since = 0
+
     def _record_judged_fault(
         self,
         outcome: slot.Outcome,
@@ -383,7 +395,11 @@
         if judgement is pathtable.Judgement.doubted:
             self.doubted_since = self.doubted_since or now
         if judgement is pathtable.Judgement.confirmed:
+            if now < self.paused_until:
+                # The run started before the pause, so it says nothing new.
+                return
             self.doubted_since = 0
+            self._confirmed_at = now
             self._fault_count = max(self._fault_count, FAULTS_UNTIL_PAUSE - 1)
         if judgement in COUNTED_JUDGEMENTS:
             self._record_fault(outcome, now)
--- a/pimentoway/ops/enginestate_test.py
+++ b/pimentoway/ops/enginestate_test.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from pimentoway.core import deployment
+from pimentoway.core import clock, deployment
 from pimentoway.ops import enginestate, pathtable, slot
 from pimentoway.standin import paused_loop, slotrequest
 
@@ -87,6 +87,23 @@
     assert free == [6, 1, 0]
 
 
+# Six of nine nodes lost their paths at the same time. They confirmed each
+# other's faults, and all back ends were paused for all nodes for seconds.
+def test_refuted_pause_ends() -> None:
+    """Faults of earlier runs don't extend it, and an answer ends it."""
+    state = enginestate.EngineState(ENGINE)
+    for number in range(2):
+        state.start(('m', number), SLOT_REQUEST)
+    for _ in range(5):
+        run(state, slot.Outcome.crashed, pathtable.Judgement.confirmed)
+    until = clock.read_monotonic() + enginestate.PAUSE_SECONDS
+    state.end(('m', 0), slot.Report(0, slot.Outcome.answered))
+    assert state.paused_until == until
+    paused_loop.advance(enginestate.PAUSE_SECONDS / 2)
+    state.end(('m', 1), slot.Report(1, slot.Outcome.answered))
+    assert state.count_free(1) == 6
+
+
 def test_pause_is_bounded() -> None:
     """A back end that stays unreachable is probed every two seconds."""
     state = enginestate.EngineState(ENGINE)
--- a/pimentoway/ops/pathrecord.py
+++ b/pimentoway/ops/pathrecord.py
@@ -24,6 +24,11 @@
 #: first.
 MAX_PATHS = 128
 
+#: Seconds after a fault that several nodes reported within which the success
+#: of another node shows that they were wrong; later, the back end may have
+#: been down and be back.
+REFUTATION_SECONDS = 1.0
+
 NEVER = float('-inf')
 
 
@@ -53,6 +58,27 @@
     is_contradicted: bool = False
     is_excused: bool = False
 
+    def excuse(self) -> None:
+        """Blame the back end; others probe it before this path is used."""
+        self.is_excused = True
+        end = clock.read_monotonic() + UNCHECKED_EXPIRY_SECONDS
+        self.expires_at = min(self.expires_at, end)
+
+    def contradict(self) -> bool:
+        """Record that another node reached the back end.
+
+        Returns:
+            Whether the path is to blame since now.
+        """
+        age = clock.read_monotonic() - self.lost_at
+        if self.is_contradicted or age < PROOF_SECONDS:
+            return False
+        if self.is_excused and age > REFUTATION_SECONDS:
+            return False
+        self.is_contradicted = True
+        self.is_excused = False
+        return True
+
 
 class NodePaths:
     """The paths with faults of one node.
@@ -96,13 +122,14 @@
             Whether it is open, closed, or open to one request at a time.
         """
         now = clock.read_monotonic()
-        path = self.find_blamed(engine)
+        path = self.path_by_engine.get(engine)
         if path and now < path.expires_at:
             return Standing.closed
         if self.is_lost:
             waits = now - self.probed_at < PROBE_SECONDS
             return Standing.closed if waits else Standing.probing
-        return Standing.probing if path else Standing.open
+        is_blamed = path is not None and not path.is_excused
+        return Standing.probing if is_blamed else Standing.open
 
     def note_probe(self) -> None:
         """Record that the node tries a path itself."""
@@ -120,7 +147,7 @@
         """
         if self.check(engine) is not Standing.closed:
             return 0
-        path = self.find_blamed(engine)
+        path = self.path_by_engine.get(engine)
         end = path.expires_at if path else self.probed_at + PROBE_SECONDS
         return min(PROBE_SECONDS, max(0, end - clock.read_monotonic()))
 
--- a/pimentoway/ops/pathtable.py
+++ b/pimentoway/ops/pathtable.py
@@ -314,17 +314,13 @@
             paths = self._paths_by_node.get(name)
             path = paths and paths.path_by_engine.get(engine)
             if path:
-                path.is_excused = True
+                path.excuse()
                 paths.publish()
 
     def _contradict(self, node: str, engine: str) -> None:
-        proof = clock.read_monotonic() - pathrecord.PROOF_SECONDS
         for name, paths in self._paths_by_node.items():
-            path = paths.find_blamed(engine)
-            if path is None or name == node or path.is_contradicted:
-                continue
-            if path.lost_at < proof:
-                path.is_contradicted = True
+            path = paths.path_by_engine.get(engine)
+            if path and name != node and path.contradict():
                 self._check_lost(name)
 
     def _open_path(self, node: str, engine: str, started: float) -> None:
--- a/pimentoway/ops/pathtable_test.py
+++ b/pimentoway/ops/pathtable_test.py
@@ -96,6 +96,8 @@
     assert watch.fail('n1', 'e1', outcome) is Judgement.doubted
     assert watch.fail('n2', 'e1', outcome) is Judgement.confirmed
     assert watch.fail('n3', 'e1', outcome) is Judgement.confirmed
+    assert watch.check('n1', 'e1') is Standing.closed
+    paused_loop.advance(pathrecord.UNCHECKED_EXPIRY_SECONDS)
     assert watch.check('n1', 'e1') is Standing.open
     assert not any(watch.table.is_lost(node) for node in ('n1', 'n2', 'n3'))
 
--- a/pimentoway/ops/relaytable_test.py
+++ b/pimentoway/ops/relaytable_test.py
@@ -35,10 +35,19 @@
 # A node that had lost its paths was served nothing, and while its connections
 # hung the others got a half to nine tenths.
 @pytest.mark.parametrize('how', list(Cut))
-@pytest.mark.parametrize('cut', [('n1',), ('n0', 'n1')])
-def test_nodes_without_paths_are_served(how: Cut, cut: tuple[str, ...]) -> None:
+@pytest.mark.parametrize(
+    ('zones', 'cut'),
+    [
+        ('aabb', ('n1',)),
+        ('aabb', ('n0', 'n1')),
+        ('aaabbbccc', ('n0', 'n1', 'n2', 'n3', 'n4', 'n5')),
+    ],
+)
+def test_nodes_without_paths_are_served(
+    how: Cut, zones: str, cut: tuple[str, ...]
+) -> None:
     """Their requests go through others, which lose nothing by it."""
-    nodes = fleet.Fleet('aabb')
+    nodes = fleet.Fleet(zones, engines=5)
     nodes.call(*nodes.nodes)
     paused_loop.advance(2)
     nodes.cut(how, *cut)
--- a/pimentoway/tools/path_guard.py
+++ b/pimentoway/tools/path_guard.py
@@ -21,7 +21,7 @@
     guard_text.Guard(
         'a confirmed fault blames no path',
         _TABLE,
-        '                path.is_excused = True\n',
+        '                path.excuse()\n',
         '                path.is_excused = False\n',
         _TABLE_TEST,
     ),
@@ -81,6 +81,37 @@
         'pass',
         'pimentoway/ops/enginestate_test.py',
     ),
+    guard_text.Guard(
+        'faults of earlier runs extend no confirmed pause',
+        'ops/enginestate.py',
+        '            if now < self.paused_until:\n',
+        '            if False:\n',
+        'pimentoway/ops/enginestate_test.py',
+    ),
+    guard_text.Guard(
+        'an answer ends a confirmed pause',
+        'ops/enginestate.py',
+        (
+            '            self.paused_until = 0\n'
+            '            self._confirmed_at = 0\n'
+        ),
+        '            self._confirmed_at = 0\n',
+        'pimentoway/ops/enginestate_test.py',
+    ),
+    guard_text.Guard(
+        'nodes whose confirmation is refuted are lost',
+        _RECORD,
+        '        if self.is_excused and age > REFUTATION_SECONDS:\n',
+        '        if self.is_excused:\n',
+        _RELAY_TEST,
+    ),
+    guard_text.Guard(
+        'a back end that was down refutes no confirmation',
+        _RECORD,
+        '        if self.is_excused and age > REFUTATION_SECONDS:\n',
+        _NEVER,
+        _TABLE_TEST,
+    ),
     guard_text.Guard(
         'a node is attached to its own broker',
         'ops/slotclient.py',
