--- a/pimentoway/ops/enginestate.py
+++ b/pimentoway/ops/enginestate.py
@@ -375,9 +375,7 @@
         if outcome in ANSWERED_OUTCOMES:
             self._clear_refuted(now)
         if outcome is slot.Outcome.shed:
-            if self.limit.tolerated is None:
-                pause = now + FULL_PAUSE_SECONDS
-                self.paused_until = max(self.paused_until, pause)
+            self._record_rejection(now)
         elif outcome is slot.Outcome.answered:
             self.failure_rate -= SMOOTHING * self.failure_rate
         elif outcome is slot.Outcome.failed:
@@ -395,6 +393,12 @@
         self._fault_count = 0
         self.doubted_since = 0
 
+    def _record_rejection(self, now: float) -> None:
+        # The limit of a brittle back end says when it gets the next request.
+        if self.limit.tolerated is None:
+            pause = now + FULL_PAUSE_SECONDS
+            self.paused_until = max(self.paused_until, pause)
+
     def _record_judged_fault(
         self,
         outcome: slot.Outcome,
