--- a/pimentoway/ops/brittle.py
+++ b/pimentoway/ops/brittle.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import math
+import random
 
 from pimentoway.core import clock, log, metric
 from pimentoway.ops import slot
@@ -40,9 +41,13 @@
 MIN_RAISE_SECONDS = 1.1
 MAX_RAISE_SECONDS = 8.0
 
-#: The least rejections a second that a share of the nodes may cause.
+#: The least rejections a second that brokers share: one that states none must
+#: be tried all the same, now and then.
 MIN_BUDGET = 0.1
 
+#: The range by which brokers spread their tries of the same back end.
+SPREAD = (0.5, 1.5)
+
 #: The outcomes of answers that the back end itself gave.
 _ANSWER_OUTCOMES = frozenset(
     (slot.Outcome.answered, slot.Outcome.failed, slot.Outcome.shed)
@@ -103,6 +108,8 @@
         self._shrunk_at = -math.inf
         self._raise_seconds = MIN_RAISE_SECONDS
         self._expected_at = -math.inf
+        self._share: float = 1
+        self._spread: float = 1
 
     def expect(self, tolerated: int | None) -> None:
         """Apply the limit to a back end that has just started.
@@ -115,8 +122,10 @@
         self._expected_at = clock.read_monotonic()
         self._start_by_key.clear()
         self._rejection_times.clear()
-        self._room = 1
-        self._proven = 1
+        # Of several brokers only one finds it idle.
+        self._room = int(self._share >= 1)
+        self._proven = self._room
+        self._spread = random.uniform(*SPREAD)
         self._failed_steps = 0
         self._raise_seconds = 0
 
@@ -149,8 +158,9 @@
         """
         if self.tolerated is None:
             return slots
+        self._share = share
         self._settle()
-        return min(slots, self._room + self._is_raise_due(share))
+        return min(slots, self._room + self._is_raise_due())
 
     def may_start(self, occupied: int, share: float) -> bool:
         """Tell whether one more request may start now.
@@ -168,9 +178,9 @@
         if self.tolerated is None:
             return True
         self._settle()
-        budget = self.tolerated * share
+        budget = max(self.tolerated, MIN_BUDGET) * share
         seconds = REJECTION_SECONDS
-        if 0 < budget < 1:
+        if budget < 1:
             # Less than one rejection in a second is one in a longer time.
             seconds = min(seconds / budget, MAX_REJECTION_SECONDS)
             budget = 1
@@ -266,6 +276,7 @@
         running = max(level, *levels, 1) - 1
         self._lower_levels(level)
         self._rejection_times.append(clock.read_monotonic())
+        self._spread = random.uniform(*SPREAD)
         metric.BRITTLE_REJECTIONS.labels(self._engine).inc()
         if running < self._proven or math.isinf(self._room):
             self._note_shrunk(running)
@@ -291,14 +302,19 @@
         self._lagging_until = max(self._lagging_until, now + seconds)
         self._shrunk_at = now
         self._proven = min(1, running)
+        # What is not rejected of those may have come before that.
+        for key, start in self._start_by_key.items():
+            self._start_by_key[key] = dataclasses.replace(
+                start, doubtful=start.level
+            )
 
-    def _is_raise_due(self, share: float) -> bool:
+    def _is_raise_due(self) -> bool:
         seconds = self._raise_seconds
-        budget = self.tolerated * share
+        budget = max(self.tolerated, MIN_BUDGET) * self._share
         if budget < 1:
             # Other brokers try, too, and these tries must not come together.
             least = MAX_RAISE_SECONDS if self._room else MIN_RAISE_SECONDS
-            seconds = max(seconds, least) / max(budget, MIN_BUDGET)
+            seconds = max(seconds, least) / budget * self._spread
         times = self._rejection_times
         last = times[-1] if times else self._expected_at
         return clock.read_monotonic() - last >= seconds
--- a/pimentoway/ops/brittle_test.py
+++ b/pimentoway/ops/brittle_test.py
@@ -1,5 +1,6 @@
 """Tests of the limit on brittle back ends, on the paused clock."""
 
+import msgspec
 import pytest
 
 from pimentoway.ops import brittle, slot
@@ -130,6 +131,20 @@
     assert limit.may_start(0, 1)
 
 
+# A request that had come before the room became less was taken for a proof of
+# the old one.
+def test_earlier_starts_prove_no_room() -> None:
+    """What they show was true before."""
+    limit = brittle.Limit('e')
+    answered = slot.Report(1, slot.Outcome.answered, tolerated_rejections=1)
+    limit.note_end(1, answered, 3)
+    limit.note_start(2, 4)
+    limit.note_start(3, 5)
+    limit.note_end(3, slot.Report(3, slot.Outcome.shed), 4)
+    limit.note_end(2, msgspec.structs.replace(answered, number=2), 3)
+    assert not limit.may_start(2, 1)
+
+
 # The process was stopped while rejections came, and the next request was
 # rejected, too.
 def test_pause_of_the_process_proves_nothing() -> None:
--- a/pimentoway/tools/brittle_guard.py
+++ b/pimentoway/tools/brittle_guard.py
@@ -78,6 +78,13 @@
         '',
         _LIMIT,
     ),
+    guard_text.Guard(
+        'starts before lost room prove nothing',
+        'ops/brittle.py',
+        'start, doubtful=start.level\n',
+        'start, doubtful=0\n',
+        _LIMIT,
+    ),
     guard_text.Guard(
         'a pause of the process admits no request',
         'ops/brittle.py',
