--- a/pimentoway/platform/brittle_process_test.py
+++ b/pimentoway/platform/brittle_process_test.py
@@ -24,6 +24,9 @@
 #: Seconds, after the room became less, within which requests follow it.
 ADAPTATION_SECONDS = 1.5
 
+#: The least fraction of the room that is used.
+MIN_USE = 0.9
+
 
 class BrittleService:
     """A node and two brittle back ends under a constant load.
@@ -100,7 +103,9 @@
     rate = factor * len(service.engines) * room / RUN_SECONDS
     service.load(rate, FULL_SECONDS)
     service.set_room(room)
-    service.load(rate, REDUCED_SECONDS)
+    service.load(rate, ADAPTATION_SECONDS)
+    use = service.measure_use(rate, REDUCED_SECONDS - ADAPTATION_SECONDS)
+    assert use >= MIN_USE
     for engine in service.engines:
         assert engine.measure_rejections() <= TOLERATED
         assert not engine.falls
