--- a/pimentoway/platform/node_group.py
+++ b/pimentoway/platform/node_group.py
@@ -438,7 +438,8 @@
     ) -> caller.Ending:
         front = self.nodes[node].settings.front
         with connection.connect(front, caller.RETRY_SECONDS) as sock:
-            sock.sendall(soak_fixture.write_request(kind, request_id))
+            path = f'/{kind}/{request_id}'
+            sock.sendall(soak_fixture.write_request(kind, request_id, path))
             deadline = clock.read_monotonic() + caller.ANSWER_TIMEOUT_SECONDS
             answer = caller.read_answer(sock, reader, deadline)
         return caller.classify_answer(kind, request_id, answer)
