Let a lost node tell nothing of the speed of back ends

Runs that a node without paths heard nothing of were counted as slow: their back ends were passed over, and a new version on them was judged as bad. They are dropped now once the node is known to be lost. The test failed before; its guard is red.

--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -364,16 +364,22 @@
         request = run.request
         queue = self._queue_by_service[request.service]
         queue.count_end(request)
+        node = run.name_node(key)
+        unfinished = report.outcome in slot.UNFINISHED_OUTCOMES
+        if unfinished and self.engines.paths.is_lost(node):
+            # What the node did not get tells nothing of the back end's speed.
+            self.grant_waiting(request.service)
+            return
         if report.outcome in slot.UNSENT_OUTCOMES:
             self._admission.refund(request)
         elif report.outcome in slot.BROKEN_OUTCOMES:
-            self._note_break(state, run, run.name_node(key), report)
+            self._note_break(state, run, node, report)
         elif report.outcome is slot.Outcome.answered:
             self._admission.note_answer(request)
             stats = queue.stats_by_route[request.route]
             state.note_relative_duration(stats.compute_duration_ratio(report))
             stats.record_answer(request, report)
-        elif report.outcome in slot.UNFINISHED_OUTCOMES:
+        elif unfinished:
             stats = queue.stats_by_route[request.route]
             state.note_unfinished(stats.compute_duration_ratio(report))
         self.rollouts.note_end(state, request, report)
--- a/pimentoway/ops/relaytable_test.py
+++ b/pimentoway/ops/relaytable_test.py
@@ -76,6 +76,28 @@
     assert not nodes.broker.engines.paths.is_lost('n1')
 
 
+# Runs that a lost node heard nothing of made their back ends count as slow,
+# and a new version as bad.
+@pytest.mark.parametrize('outcome', [Outcome.silent, Outcome.abandoned])
+def test_lost_node_tells_nothing_of_speed(outcome: Outcome) -> None:
+    """The speed of the back end stays as others measured it."""
+    nodes = fleet.Fleet('aab')
+    nodes.call(*nodes.nodes)
+    paused_loop.advance(2)
+    request = nodes.submit('n1')
+    paused_loop.advance(0.1)
+    key = ('n1/1', request.number)
+    state = nodes.broker.engines.find_engine(key)
+    nodes.cut(Cut.hanging, 'n1')
+    paused_loop.advance(8)
+    assert nodes.broker.engines.paths.is_lost('n1')
+    before = state.relative_duration
+    late = slot.Report(request.number, outcome, total_seconds=9)
+    nodes.broker.finish('n1/1', late)
+    assert key not in state.run_by_key
+    assert state.relative_duration == before
+
+
 # A lost node's requests went one by one to all back ends.
 def test_lost_node_tries_few_paths() -> None:
     """About one request a second tries a path that is cut."""
--- a/pimentoway/tools/path_guard.py
+++ b/pimentoway/tools/path_guard.py
@@ -11,6 +11,13 @@
 _NEVER = '        if False:\n'
 
 GUARDS = (
+    guard_text.Guard(
+        'a lost node tells nothing of the speed of back ends',
+        'ops/broker.py',
+        '        if unfinished and self.engines.paths.is_lost(node):\n',
+        '        if False:\n',
+        'pimentoway/ops/relaytable_test.py',
+    ),
     guard_text.Guard(
         'one node alone confirms no fault of a back end',
         _TABLE,
