Tell a new broker which back ends bear few rejections

A broker that took over knew no limit, and gave a brittle back end a full set of slots at once until its first answer; it rejected most of them and fell. Nodes now tell a broker to which they attach what the back ends said. The test failed before; its guard is red.

--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -169,6 +169,7 @@
         """
         for notice in notices:
             self.notices.note(requester, notice)
+            self.engines.note_tolerance(notice)
         # The node sends its unanswered slot requests again, and the broker
         # may not have noticed yet that the node's earlier link is closed.
         self._drop_waiting(requester)
--- a/pimentoway/ops/enginetable.py
+++ b/pimentoway/ops/enginetable.py
@@ -273,6 +273,20 @@
             )
         return state.end(key, report, judgement)
 
+    def note_tolerance(self, notice: slot.EngineNotice) -> None:
+        """Limit a back end that another broker knew to be brittle.
+
+        Args:
+            notice: What the back end said to a node. One that states no limit
+                says nothing, as its sender may not know of one.
+        """
+        state = self.state_by_name.get(notice.engine)
+        stated = notice.tolerated_rejections
+        if state is None or stated == slot.NO_LIMIT:
+            return
+        if state.limit.tolerated is None:
+            state.limit.expect(stated)
+
     def note_path(self, requester: str, report: slot.PathReport) -> None:
         """Record what a node found when it checked a path.
 
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -198,6 +198,8 @@
         leaving: Whether it is shutting down and wants no new requests.
         pause_seconds: How long it wants no request from that node, counted
             from when the notice is sent; 0 if it states no time.
+        tolerated_rejections: How many requests a second it can turn away;
+            ``NO_LIMIT`` if it states no limit.
     """
 
     engine: str
@@ -205,6 +207,7 @@
     born: int
     leaving: bool = False
     pause_seconds: float = 0
+    tolerated_rejections: int = NO_LIMIT
 
 
 class PathReport(msgspec.Struct, frozen=True, array_like=True):
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -92,6 +92,8 @@
         self._pending_by_number: dict[int, _Pending] = {}
         self._running_by_number: dict[int, slot.ActiveGrant] = {}
         self._usage_by_customer: dict[str, window.Window] = {}
+        # How many rejections a second brittle back ends bear, as they said.
+        self._tolerated_by_engine: dict[str, int] = {}
 
     @property
     def is_remote(self) -> bool:
@@ -129,6 +131,7 @@
                 self.requester,
                 self.list_running(),
                 self.list_usage(),
+                self.list_notices(),
             )
         waiting = list(self._pending_by_number.values())
         _LOG.write(
@@ -183,6 +186,8 @@
             report: The outcome.
         """
         run = self._running_by_number.pop(report.number, None)
+        if run and report.tolerated_rejections is not None:
+            self._note_tolerance(run.engine, report.tolerated_rejections)
         if run and report.outcome in slot.UNSENT_OUTCOMES:
             self._add_usage(run.request, -run.request.cost)
         if self._remote:
@@ -228,7 +233,14 @@
         Returns:
             The notices.
         """
-        return self._local.notices.list_known(self.requester)
+        known = self._local.notices.list_known(self.requester)
+        states = self._local.engines.state_by_name
+        brittle = (
+            _make_tolerance_notice(states[name].engine, tolerated)
+            for name, tolerated in self._tolerated_by_engine.items()
+            if name in states
+        )
+        return (*known, *brittle)
 
     def may_use(self, engine: deployment.Engine) -> bool:
         """Tell whether this node may send a request to a back end.
@@ -348,6 +360,12 @@
         )
         self._add_usage(request, request.cost)
 
+    def _note_tolerance(self, engine: str, tolerated: int) -> None:
+        if tolerated == slot.NO_LIMIT:
+            self._tolerated_by_engine.pop(engine, None)
+        else:
+            self._tolerated_by_engine[engine] = tolerated
+
     def _add_usage(self, request: slot.SlotRequest, cost: float) -> None:
         # A negative cost is a refund.
         if not request.customer:
@@ -357,3 +375,14 @@
             usage = window.Window(self._quota_seconds)
             self._usage_by_customer[request.customer] = usage
         usage.add(cost)
+
+
+def _make_tolerance_notice(
+    engine: deployment.Engine, tolerated: int
+) -> slot.EngineNotice:
+    return slot.EngineNotice(
+        engine.name,
+        engine.address,
+        engine.born,
+        tolerated_rejections=tolerated,
+    )
--- a/pimentoway/ops/slotclient_test.py
+++ b/pimentoway/ops/slotclient_test.py
@@ -57,6 +57,7 @@
             REQUESTER,
             self.slots.list_running(),
             self.slots.list_usage(),
+            self.slots.list_notices(),
         )
         self.slots.switch_broker(self.send)
 
@@ -275,3 +276,26 @@
     assert pair.slots.list_notices() == (heard,)
     for known in (pair.local.notices, pair.remote.notices):
         assert known.is_leaving(engine)
+
+
+# A new broker gave a back end that bears few rejections all slots at once, of
+# which it rejected most.
+def test_new_broker_spares_brittle_back_ends() -> None:
+    """The next request waits until the first one was not rejected."""
+    pair = BrokerPair()
+    first = pair.acquire()
+    pair.slots.report(
+        slot.Report(first.number, slot.Outcome.answered, tolerated_rejections=1)
+    )
+    pair.attach_remote()
+    second = pair.acquire()
+    assert not pair.count_free(pair.remote)
+    pair.slots.report(
+        slot.Report(
+            second.number,
+            slot.Outcome.answered,
+            tolerated_rejections=slot.NO_LIMIT,
+        )
+    )
+    assert pair.count_free(pair.remote) == 2
+    assert not pair.slots.list_notices()
--- a/pimentoway/tools/brittle_guard.py
+++ b/pimentoway/tools/brittle_guard.py
@@ -6,6 +6,13 @@
 _PROCESS = 'pimentoway/platform/brittle_process_test.py'
 
 GUARDS = (
+    guard_text.Guard(
+        'a new broker learns which back ends bear few rejections',
+        'ops/broker.py',
+        '            self.engines.note_tolerance(notice)\n',
+        '',
+        'pimentoway/ops/slotclient_test.py',
+    ),
     guard_text.Guard(
         'tolerated rejections are bounded',
         'platform/notice_header.py',
