Compare cut nodes only while another node could serve their calls

The logs show why. Three of five nodes were cut at the time, a fourth was shutting down, and the fifth relayed for all until it was killed; what it had served before was then compared with calls that no node could serve. Calls to cut nodes now count while a node that is neither cut nor disturbed is there, as the users' rule asks for nodes in touch; nothing else changes. The new test failed before.

--- a/pimentoway/soak/check.py
+++ b/pimentoway/soak/check.py
@@ -4,7 +4,7 @@
 import math
 
 from pimentoway.platform import recording_engine, soak_fixture
-from pimentoway.soak import caller, stage
+from pimentoway.soak import caller, fleet, stage
 
 Outcomes = list[caller.Outcome]
 Runs = list[recording_engine.Run]
@@ -167,32 +167,53 @@
 def _split_served(
     outcomes: Outcomes, partition: stage.Partition, partitions: Partitions
 ) -> tuple[list[bool], list[bool]]:
-    # Whether each request was served: those to nodes of the partition, and
-    # those to nodes that were in none meanwhile.
+    # Whether each request was served: those to nodes of the partition, while
+    # any other node could serve them, and those to nodes that were in none.
+    reaching = _find_reaching(outcomes, partition, partitions)
+    counted = [
+        outcome
+        for outcome in outcomes
+        if _counts_for(outcome, outcome.node, partition)
+    ]
+    cut = [
+        outcome.ending is caller.Ending.exact
+        for outcome in counted
+        if outcome.node.settings.name in partition.nodes
+        and any(_counts_for(outcome, other, partition) for other in reaching)
+    ]
+    others = [
+        outcome.ending is caller.Ending.exact
+        for outcome in counted
+        if outcome.node in reaching
+    ]
+    return cut, others
+
+
+def _find_reaching(
+    outcomes: Outcomes, partition: stage.Partition, partitions: Partitions
+) -> list[fleet.Node]:
+    # The nodes that were in no partition meanwhile.
     unreaching = {
         name
         for other in partitions
         if other.start < partition.end and partition.start < other.end
         for name in other.nodes
     }
-    cut = []
-    others = []
-    for outcome in outcomes:
-        name = outcome.node.settings.name
-        if not _counts_for(outcome, partition):
-            continue
-        if name in partition.nodes:
-            cut.append(outcome.ending is caller.Ending.exact)
-        elif name not in unreaching:
-            others.append(outcome.ending is caller.Ending.exact)
-    return cut, others
+    node_by_name = {
+        outcome.node.settings.name: outcome.node for outcome in outcomes
+    }
+    return [
+        node for name, node in node_by_name.items() if name not in unreaching
+    ]
 
 
-def _counts_for(outcome: caller.Outcome, partition: stage.Partition) -> bool:
+def _counts_for(
+    outcome: caller.Outcome, node: fleet.Node, partition: stage.Partition
+) -> bool:
     settled = outcome.sent_at - PARTITION_SECONDS
     if settled < partition.start or outcome.sent_at >= partition.end:
         return False
-    return not outcome.node.was_disturbed(settled, outcome.ended_at)
+    return not node.was_disturbed(settled, outcome.ended_at)
 
 
 def _is_unserved(cut: list[bool], others: list[bool]) -> bool:
--- a/pimentoway/soak/check_test.py
+++ b/pimentoway/soak/check_test.py
@@ -164,6 +164,29 @@
     assert not check.list_unserved(outcomes, [partition, everywhere])
 
 
+# The last node that was not cut was killed, and calls to the cut nodes were
+# compared with what it had served before.
+def test_calls_no_node_could_serve_are_left_out(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Calls count for which another undisturbed node had paths."""
+    cut = make_node(tmp_path)
+    other = make_node(tmp_path)
+    other.settings = dataclasses.replace(cut.settings, name='n2')
+    outcomes = [
+        outcome
+        for _ in range(30)
+        for outcome in (
+            make_outcome(other, sent_at=8, ended_at=8.1),
+            make_outcome(cut, sent_at=9, ended_at=9.1, ending=Ending.status),
+        )
+    ]
+    partition = stage.Partition(frozenset(('n1',)), 4, 12)
+    assert check.list_unserved(outcomes, [partition])
+    other.disturbances.append(fleet.Disturbance(8.5, 9.5))
+    assert not check.list_unserved(outcomes, [partition])
+
+
 def test_seed_determines_the_plan() -> None:
     """Equal seeds give equal faults, in order; another seed gives others."""
     first = fault_plan.draw_plan(3, 10, 20)
