--- a/pimentoway/ops/brittle_test.py
+++ b/pimentoway/ops/brittle_test.py
@@ -178,3 +178,12 @@
     report = slot.Report(2, outcome, tolerated_rejections=stated)
     limit.note_end(2, report, 0)
     assert limit.tolerated == tolerated
+
+
+# Three brokers that share what a back end tolerates each try for themselves.
+@pytest.mark.xfail(strict=True)
+def test_three_brokers_share_one_rejection() -> None:
+    """No back end falls more often than once, as with two brokers."""
+    fleet = make_fleet(1, tolerated=1, brokers=3)
+    paused_loop.advance(5)
+    assert all(engine.falls <= 1 for engine in fleet.engines.values())
