--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec timeout -s KILL 110 python3 case.py
+cd "$(dirname "$0")" && exec timeout --preserve-status -k 5 105 python3 case.py
--- a/review/standin.py
+++ b/review/standin.py
@@ -25,6 +25,8 @@
 HOST = 'shop.example'
 KEY = 'key-studio'
 ATTEMPT = 'pimentoway-attempt-id'
+#: The exit status of a case that could not run.
+CANNOT_RUN = 2
 
 
 def find_ports(count: int) -> list[int]:
@@ -926,6 +928,10 @@
     return status
 
 
+def _end_case(number: int, frame: object) -> None:
+    raise SystemExit(CANNOT_RUN)
+
+
 class Site:
     """A small deployment: a store and nodes; engines are added by the case.
 
@@ -942,6 +948,8 @@
         Args:
             case: The folder of the case.
         """
+        # So that `timeout` lets the case end its processes.
+        signal.signal(signal.SIGTERM, _end_case)
         self.record = Record(case / 'record.txt')
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.store = Store()
