Send a request at most once on each connection to a back end

What callers saw: an unsafe request that had been refused and came back after its Retry-After ran at two engines, or twice at one (TWICE).

Cause: an engine wrote its refusal once more on the connection that was kept, and the node read it as the answer to the second dispatch. An answer names its request, which was the same for both. "Not run" then allowed another engine.

Change: a connection remembers the requests that may be sent again, until their time is over, and is not chosen for them; other requests still use it. A relay gets the identifier with Open; nodes of earlier releases send none and get a connection that remembers nothing.

Ruled out: unread input when the connection is taken; the number of engines.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -2,7 +2,8 @@
 
 A request is written to a connection once. Input that does not belong to it (a
 second response, a late one, bytes that are not HTTP) is never taken for the
-response to another request: the connection is not reused.
+response to another request: the connection is not reused. As a response names
+only its request, one that is sent again takes another connection each time.
 """
 
 import collections
@@ -39,6 +40,10 @@
 #: Maximum idle connections for one back end.
 MAX_IDLE_CHANNELS = 12
 
+#: The most requests that may be sent again and that a connection remembers; one
+#: that carried more of them is not reused.
+MAX_REMEMBERED = 64
+
 _READ_EVENT = 1
 
 ReceiveHandler = collections.abc.Callable[[bytes], None]
@@ -85,6 +90,8 @@
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self._reader = message.AnswerReader()
         self._closed_by_peer = False
+        self._current_id = ''
+        self._end_by_id: dict[str, float] = {}
         self.on_received: ReceiveHandler | None = None
         self._sock = sock or connection.connect(
             address, CONNECT_SECONDS, connection.BACKEND_SILENCE_SECONDS
@@ -97,6 +104,7 @@
             dispatch: The request.
             deadline: The monotonic time at which sending is given up.
         """
+        self._remember(dispatch)
         head = self._dialect.write_request(dispatch)
         self.send(b'%s%s' % (head, dispatch.request.body), deadline)
 
@@ -179,6 +187,24 @@
             return joined
         return b''
 
+    def may_carry(self, request_id: str) -> bool:
+        """Tell whether the response to a request could not be mistaken.
+
+        Args:
+            request_id: The identifier of the request; '' if it is not known.
+
+        Returns:
+            Whether the connection has not carried the request before, as a
+            late copy of its earlier response would name it, too.
+        """
+        if request_id:
+            return request_id not in self._end_by_id
+        return not self._end_by_id
+
+    def forget_request(self) -> None:
+        """Record that the request that was sent last is not sent again."""
+        self._end_by_id.pop(self._current_id, None)
+
     def has_input(self) -> bool:
         """Tell whether anything, or a close, has arrived and was not read.
 
@@ -232,9 +258,13 @@
         )
         if not clean or len(self._reader.answers) != 1:
             return False
+        now = clock.read_monotonic()
+        self._forget_expired(now)
+        if len(self._end_by_id) > MAX_REMEMBERED:
+            return False
         self._reader = message.AnswerReader()
         self.reused = True
-        self.idle_since = clock.read_monotonic()
+        self.idle_since = now
         return True
 
     def close(self) -> None:
@@ -249,6 +279,19 @@
         with contextlib.suppress(OSError):
             self._sock.shutdown(gevent_socket.SHUT_RDWR)
 
+    def _remember(self, dispatch: call.Dispatch) -> None:
+        self._current_id = dispatch.request.request_id
+        self._end_by_id[self._current_id] = (
+            clock.read_monotonic() + dispatch.timeout_seconds
+        )
+
+    def _forget_expired(self, now: float) -> None:
+        self._end_by_id = {
+            request_id: end
+            for request_id, end in self._end_by_id.items()
+            if end > now
+        }
+
     def _is_own(self, named: str, request_id: str) -> bool:
         if named:
             return named == request_id
@@ -366,34 +409,39 @@
         self._idle_by_engine: dict[str, list[Channel]] = {}
 
     def acquire(
-        self, engine: str, address: str, max_idle_seconds: float
+        self,
+        engine: str,
+        address: str,
+        max_idle_seconds: float,
+        request_id: str,
     ) -> Channel:
         """Take the connection that became idle last, or open one.
 
-        Idle connections found unusable on the way are closed.
+        Idle connections found unusable on the way are closed. Those that have
+        carried the request before are kept for others.
 
         Args:
             engine: The name of the back end.
             address: Its IP address and port.
             max_idle_seconds: Seconds for which the connection may have been
                 idle; 0 for a new connection.
+            request_id: The identifier of the request that it is to carry; ''
+                if it is not known.
 
         Returns:
             The connection, to be passed to `release` or `discard`.
         """
         idle = self._idle_by_engine.get(engine, [])
         now = clock.read_monotonic()
-        while idle:
-            channel = idle.pop()
+        for channel in tuple(reversed(idle)):
             idle_seconds = now - channel.idle_since
             usable = idle_seconds < min(channel.idle_seconds, max_idle_seconds)
-            if (
-                usable
-                and channel.address == address
-                and not channel.has_input()
-            ):
+            if not usable or channel.address != address or channel.has_input():
+                idle.remove(channel)
+                self.discard(channel)
+            elif channel.may_carry(request_id):
+                idle.remove(channel)
                 return channel
-            self.discard(channel)
         self.lost_paths.check(engine, address)
         return self._open(engine, address)
 
--- a/pimentoway/backends/pathprobe_process_test.py
+++ b/pimentoway/backends/pathprobe_process_test.py
@@ -39,7 +39,7 @@
     started = time.monotonic()
     for _ in range(5):
         with pytest.raises(error.ConnectError):
-            pool.acquire('e1', full_address, 1)
+            pool.acquire('e1', full_address, 1, 'a1')
     assert time.monotonic() - started < 2 * channel.CONNECT_SECONDS
     assert not pool.open_by_engine['e1']
 
@@ -50,7 +50,7 @@
     address = f'127.0.0.1:{number}'
     pool = channel.ChannelPool(wire.DIALECT)
     with pytest.raises(error.ConnectError):
-        pool.acquire('e1', address, 1)
+        pool.acquire('e1', address, 1, 'a1')
     opened: list[str] = []
     prober = pathprobe.PathProber(pool.lost_paths, pool.probe, opened.append)
     task = gevent.spawn(prober.run)
@@ -60,6 +60,6 @@
     gevent.sleep(pathprobe.PROBE_SECONDS / 2)
     task.kill()
     assert opened == ['e1']
-    assert not pool.acquire('e1', address, 5).reused
+    assert not pool.acquire('e1', address, 5, 'a1').reused
     assert pool.opened_count == 1
     server.close()
--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -31,8 +31,6 @@
 
 _CONTENT_TYPE = b'content-type'
 _STREAM_TYPE = b'text/event-stream'
-_SUCCESS = 200
-_REDIRECTION = 300
 _BAD_REQUEST = 400
 _MISDIRECTED = 421
 _FAILURE = 500
@@ -169,7 +167,7 @@
         return self._forward_buffered()
 
     def _is_success(self) -> bool:
-        return _SUCCESS <= self._exchange.response.status < _REDIRECTION
+        return self._exchange.response.is_success()
 
     def _is_proper(self) -> bool:
         metadata = self._exchange.metadata
--- a/pimentoway/callers/backendpath.py
+++ b/pimentoway/callers/backendpath.py
@@ -82,6 +82,7 @@
             self._engine.name,
             self._engine.address,
             math.inf if context.route.idempotent else UNSAFE_MAX_IDLE_SECONDS,
+            context.request.request_id,
         )
 
     def release(
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -242,6 +242,8 @@
         if self._reader.is_lost and not self.conn.is_acknowledged():
             # The back end would run what is still on its way.
             self.conn.reset_on_close()
+        if self.outcome is slot.Outcome.answered:
+            self.conn.forget_request()
         # Closing the connection makes the back end cancel the request.
         if self.response is not None and self.response.complete:
             self.path.release(self.conn, self.response, self.metadata)
--- a/pimentoway/core/message.py
+++ b/pimentoway/core/message.py
@@ -36,6 +36,7 @@
 _CHUNKED = b'chunked'
 _NO_BODY_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
+_REDIRECTION = 300
 _BAD_REQUEST = 400
 _HEAD_TOO_LARGE = 431
 _BODY_TOO_LARGE = 413
@@ -261,6 +262,14 @@
     framing: Framing = Framing.length
     keep_alive: bool = False
 
+    def is_success(self) -> bool:
+        """Tell whether the status is that of a success.
+
+        Returns:
+            Whether it is.
+        """
+        return _FIRST_FINAL_STATUS <= self.status < _REDIRECTION
+
 
 class AnswerReader:
     """Parses the bytes of a back end's connection into answers.
--- a/pimentoway/nodes/relaychannel.py
+++ b/pimentoway/nodes/relaychannel.py
@@ -179,7 +179,11 @@
     dialect: call.Dialect
 
     def acquire(
-        self, engine: str, address: str, max_idle_seconds: float
+        self,
+        engine: str,
+        address: str,
+        max_idle_seconds: float,
+        request_id: str,
     ) -> RelayChannel:
         """Let the relay connect to a back end.
 
@@ -188,6 +192,7 @@
             address: Its IP address and port.
             max_idle_seconds: Seconds for which the relay's connection may have
                 been idle; 0 for a new one.
+            request_id: The identifier of the request.
 
         Returns:
             The connection, to be passed to `release` or `discard`.
@@ -201,6 +206,7 @@
             engine,
             self.size,
             min(max_idle_seconds, relayframe.MAX_SECONDS),
+            request_id,
         )
         sock = self._connect()
         try:
--- a/pimentoway/nodes/relayframe.py
+++ b/pimentoway/nodes/relayframe.py
@@ -39,12 +39,14 @@
         size: The length of the request's body, in bytes.
         max_idle: The longest time, in seconds, for which the connection may
             have been idle.
+        request_id: The identifier of the request; '' from earlier releases.
     """
 
     node: str
     engine: str
     size: int
     max_idle: float
+    request_id: str = ''
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/pimentoway/nodes/requestrelay.py
+++ b/pimentoway/nodes/requestrelay.py
@@ -246,7 +246,10 @@
     ) -> channel.Channel:
         try:
             return self._dependencies.channels.acquire(
-                engine.name, engine.address, opening.max_idle
+                engine.name,
+                engine.address,
+                opening.max_idle,
+                opening.request_id,
             )
         except error.ConnectError as fault:
             raise DeniedError(
@@ -304,6 +307,7 @@
         self.conn.on_received = None
         answered = self._response is not None and self._response.complete
         if answered and not self._peer.left:
+            self._forget_request()
             channels.release(self.conn, self._response, self._metadata)
         else:
             if not (self._acknowledged or self.conn.is_acknowledged()):
@@ -312,6 +316,12 @@
             # Closing the connection makes the back end cancel the request.
             channels.discard(self.conn)
 
+    def _forget_request(self) -> None:
+        # Only the node that reads a stream knows whether it is whole.
+        response = self._response
+        if response.is_success() and response.framing is message.Framing.length:
+            self.conn.forget_request()
+
     def _exchange(
         self, head: relayframe.Dispatch, body: bytes
     ) -> relayframe.End:
--- a/pimentoway/platform/relay_process_test.py
+++ b/pimentoway/platform/relay_process_test.py
@@ -132,7 +132,11 @@
         put(self.view, registry.Kind.peers, 'n2', peer)
 
     def open(
-        self, size: int = 2, max_idle: float = 0, source: str = NODE_HOST
+        self,
+        size: int = 2,
+        max_idle: float = 0,
+        source: str = NODE_HOST,
+        request_id: str = 'a1',
     ) -> relaychannel.RelayChannel:
         """Let the relay connect to the engine.
 
@@ -140,13 +144,14 @@
             size: The size of the body.
             max_idle: The longest idle time of its connection.
             source: The address of the node that asks.
+            request_id: The identifier of the request.
 
         Returns:
             The connection.
         """
         client = relaychannel.RelayClient('n1', source, self.view, wire.DIALECT)
         return client.find_route('n2', size).acquire(
-            self.engine.name, self.engine.address, max_idle
+            self.engine.name, self.engine.address, max_idle, request_id
         )
 
     def send(self, **options: object) -> relaychannel.RelayChannel:
--- a/pimentoway/tools/guard.py
+++ b/pimentoway/tools/guard.py
@@ -21,6 +21,7 @@
     path_guard,
     recovery_guard,
     relay_guard,
+    repeat_guard,
     silence_guard,
 )
 
@@ -57,6 +58,7 @@
     *path_guard.GUARDS,
     *recovery_guard.GUARDS,
     *relay_guard.GUARDS,
+    *repeat_guard.GUARDS,
     *silence_guard.GUARDS,
     guard_text.Guard(
         'claim before dispatch',
