Let other nodes watch the store when its watchers are turned away

What callers saw: the store turned away the two of six nodes that watch it; the other four, which it served, ran requests with a dropped key until it served the two again (CONFIG).

Cause: nodes that do not watch rely on their broker, and nothing told them that it had lost its source: a heartbeat with old revisions looks like calm.

Change: heartbeats carry one more field. A broker tells each node whether the store answers it or a node above; nodes that are told otherwise ask the store in the order of their rank, in groups that double, 32 at most, and the first that gets an answer watches for the others until one above it has contact again. A broker asks a silent store after 2 s, at a tenth of the price. Earlier releases tell nothing of this and are relied on as before.

--- a/pimentoway/core/metric.py
+++ b/pimentoway/core/metric.py
@@ -98,6 +98,11 @@
     ['tier', 'length', 'decision'],
 )
 
+STORE_CONTACT = prometheus_client.Gauge(
+    'pimentoway_store_contact',
+    'Whether this node watches the store and the store answers it.',
+)
+
 LOST_PATHS = prometheus_client.Gauge(
     'pimentoway_lost_paths',
     'Paths to back ends on which a node of this broker had faults.',
--- a/pimentoway/core/registry.py
+++ b/pimentoway/core/registry.py
@@ -144,6 +144,10 @@
                 records must be listed again.
         """
 
+    @abc.abstractmethod
+    def check(self) -> None:
+        """Ask the store for any answer, at the least cost."""
+
     @abc.abstractmethod
     def put_peer(self, peer: deployment.Peer) -> None:
         """Register a node or replace its record.
--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -48,6 +48,18 @@
 _LOG = log.Log('election')
 
 
+def rank(peer: deployment.Peer) -> tuple[float, int]:
+    """Rank a node as a candidate for the common broker.
+
+    Args:
+        peer: The node.
+
+    Returns:
+        The rank, the lowest for the highest-ranked node.
+    """
+    return -peer.cores, xxhash.xxh32_intdigest(peer.name.encode())
+
+
 def order_peers(peers: list[deployment.Peer]) -> list[deployment.Peer]:
     """Rank nodes as candidates for the common broker.
 
@@ -58,17 +70,33 @@
         The nodes by descending cores, ties broken by a hash of the name, so
         that every node computes the same order.
     """
-    return sorted(
-        peers,
-        key=lambda peer: (
-            -peer.cores,
-            xxhash.xxh32_intdigest(peer.name.encode()),
-        ),
-    )
+    return sorted(peers, key=rank)
+
+
+def list_watchers(peers: list[deployment.Peer]) -> list[str]:
+    """List the nodes that always watch the store.
+
+    Args:
+        peers: The nodes.
+
+    Returns:
+        The names of the highest-ranked nodes of each failure domain, by rank.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    watchers = []
+    for peer in order_peers(peers):
+        counts[peer.zone] += 1
+        if counts[peer.zone] <= WATCHERS_PER_ZONE:
+            watchers.append(peer.name)
+    return watchers
 
 
 class Election:
-    """Keeps a node linked to the highest-ranked broker that it can reach."""
+    """Keeps a node linked to the highest-ranked broker that it can reach.
+
+    Attributes:
+        tell_contact: Tells what the heartbeats to the broker say of the store.
+    """
 
     def __init__(
         self,
@@ -89,6 +117,7 @@
         self._boot = boot
         self._view = node_view
         self._slots = slots
+        self.tell_contact: link.ContactSource | None = None
         self._started = clock.read_monotonic()
         self._link: link.Link | None = None
         self._link_numbers = itertools.count(1)
@@ -105,8 +134,18 @@
         """
         return self._link.peer if self._link else self._settings.name
 
+    def read_contact(self) -> int:
+        """Read what the broker told last of its contact with the store.
+
+        Returns:
+            The value of a ``frame.Contact``; ``unknown`` without a link.
+        """
+        if self._link is None:
+            return frame.Contact.unknown
+        return self._link.read_contact()
+
     def should_watch_store(self) -> bool:
-        """Tell whether this node should watch the store for changes.
+        """Tell whether this node's rank has it watch the store for changes.
 
         Each change wakes every watch, so only some nodes watch and send the
         changes to the rest: nodes that use their own broker, and the highest
@@ -126,10 +165,8 @@
             for peer in self._view.peers_by_name.values()
             if peer.zone == self._settings.zone
         ]
-        watchers = order_peers(zone_peers)[:WATCHERS_PER_ZONE]
-        return not watchers or self._settings.name in {
-            peer.name for peer in watchers
-        }
+        watchers = list_watchers(zone_peers)
+        return not watchers or self._settings.name in watchers
 
     def run(self) -> None:
         """Look for a higher-ranked broker forever."""
@@ -238,6 +275,8 @@
     def _switch_to(self, opened: link.Link) -> None:
         previous = self._link
         self._link = opened
+        if self.tell_contact:
+            opened.tell_contact = self.tell_contact
         opened.send(
             frame.Attach(
                 self._settings.name,
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import enum
 import types
 import zlib
 
@@ -64,6 +65,17 @@
     notices: tuple[slot.EngineNotice, ...] = ()
 
 
+class Contact(enum.IntEnum):
+    """Whether a sender of heartbeats learns the changes of the store."""
+
+    # It does not tell, as a node of an earlier release.
+    unknown = 0
+    # Neither the store nor another node tells it.
+    lost = 1
+    # The store answers it, or one on whom it relies.
+    kept = 2
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Shows that the sender lives, and which registry revisions it has.
 
@@ -73,10 +85,14 @@
         version: The version of the configuration in force at the sender; 0 if
             it has none. It may be newer than what the store holds at the
             sender's revision, if the store was restored from a copy.
+        contact: The value of a ``Contact``. Of the node that asks the broker:
+            whether the store itself answers it. Of the broker: whether the
+            node may rely on it for the changes of the store.
     """
 
     revisions: list[int]
     version: int = 0
+    contact: int = Contact.unknown
 
 
 class RecordQuery(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/pimentoway/nodes/link.py
+++ b/pimentoway/nodes/link.py
@@ -52,6 +52,8 @@
 _LOG = log.Log('link')
 
 MessageHandler = collections.abc.Callable[['Link', frame.Message], None]
+ContactSource = collections.abc.Callable[[], frame.Contact]
+NodeContactSource = collections.abc.Callable[[str], frame.Contact]
 
 
 class Link:
@@ -64,6 +66,7 @@
             empty before its ``Attach`` and on links that this node opened.
         number: The number of the link from its ``Attach``; 0 before it.
         open: Whether the connection is open.
+        tell_contact: Tells what the heartbeats say of the store.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.requester = ''
         self.number = 0
         self.open = True
+        self.tell_contact: ContactSource = _tell_nothing
         self._sock = sock
         self._view = node_view
         self._received = received
@@ -109,6 +113,14 @@
         self._unsent += frame.encode(message)
         self._wake.set()
 
+    def read_contact(self) -> int:
+        """Read what the peer told last of its contact with the store.
+
+        Returns:
+            The value of a ``frame.Contact``.
+        """
+        return self._received_heartbeat.contact
+
     def run(self, on_message: MessageHandler) -> None:
         """Send and receive messages until the connection ends.
 
@@ -195,6 +207,7 @@
         heartbeat = frame.Heartbeat(
             list(self._view.revision_by_kind.values()),
             self._view.version,
+            self.tell_contact(),
         )
         if now >= self._next_revisions or heartbeat != self._sent_heartbeat:
             self._sent_heartbeat = heartbeat
@@ -284,6 +297,8 @@
     Attributes:
         link_by_requester: The current link of each attached node, by
             ``name/boot``.
+        tell_contact: Tells what the heartbeats to a node of the given name
+            say of the store.
     """
 
     def __init__(
@@ -301,6 +316,7 @@
             on_detach: Called with the requester when its current link ends.
         """
         self.link_by_requester: dict[str, Link] = {}
+        self.tell_contact: NodeContactSource = _tell_nothing
         self._view = node_view
         self._on_message = on_message
         self._on_detach = on_detach
@@ -352,5 +368,10 @@
             link.close()
             return
         self.link_by_requester[link.requester] = link
+        link.tell_contact = functools.partial(self.tell_contact, link.peer)
         if current:
             current.close()
+
+
+def _tell_nothing(peer: str = '') -> frame.Contact:
+    return frame.Contact.unknown
--- a/pimentoway/ops/registrywatcher.py
+++ b/pimentoway/ops/registrywatcher.py
@@ -8,7 +8,7 @@
 import gevent
 
 from pimentoway.core import clock, error, log, registry
-from pimentoway.ops import view
+from pimentoway.ops import storecontact, view
 
 #: Seconds for which a watch waits for a change.
 WATCH_SECONDS = 20
@@ -57,17 +57,14 @@
 
 
 class RegistryWatcher:
-    """Keeps a registry view in step with the store.
-
-    Attributes:
-        connected_by_kind: Whether the last call for each kind succeeded.
-    """
+    """Keeps a registry view in step with the store."""
 
     def __init__(
         self,
         source: registry.Registry,
         registry_view: view.View,
         should_watch_store: collections.abc.Callable[[], bool],
+        contact: storecontact.StoreContact,
     ) -> None:
         """Set up the watch; ``run`` starts it for one kind.
 
@@ -76,9 +73,10 @@
             registry_view: The view to update.
             should_watch_store: Tells whether this node should watch the store
                 now; if not, it gets the records from other nodes.
+            contact: Learns how the calls to the store end.
         """
         self._should_watch_store = should_watch_store
-        self.connected_by_kind = dict.fromkeys(registry.Kind, False)
+        self._contact = contact
         self._source = source
         self._view = registry_view
 
@@ -96,6 +94,7 @@
                 # Records from other nodes are newer than the last listing.
                 state.listed = self._view.revision_by_kind[kind] > 0
                 state.confirmed = False
+                self._contact.note_watched(kind, is_connected=False)
                 gevent.sleep(CHECK_SECONDS)
 
     def _advance_safely(self, kind: registry.Kind, state: _WatchState) -> None:
@@ -104,6 +103,9 @@
         except error.WatchExpiredError:
             # The end of a watch came late, in the pause after it.
             state.listed = False
+        except storecontact.WatchEndedError as ended:
+            self._note_failure(kind, ended)
+            state.confirmed = False
 
     def _advance(self, kind: registry.Kind, state: _WatchState) -> None:
         watches = state.listed
@@ -121,6 +123,8 @@
                 state.wait()
             state.expired = True
             return
+        except storecontact.WatchEndedError:
+            raise
         except error.PlatformError as fault:
             self._note_failure(kind, fault)
             state.confirmed = False
@@ -155,15 +159,17 @@
         # revision again. Only an answer shows this, so the first one must not
         # wait for a change.
         seconds = WATCH_SECONDS if state.confirmed else 0
-        changes = self._source.watch_records(kind, revision, seconds)
+        with self._contact.wait():
+            changes = self._source.watch_records(kind, revision, seconds)
         self._view.apply_changes(kind, changes, 'store watch')
         if changes.changes:
             gevent.sleep(BATCH_SECONDS_BY_KIND.get(kind, 0))
 
     def _note_failure(self, kind: registry.Kind, fault: Exception) -> None:
         self._view.note_store_failure()
-        if self.connected_by_kind[kind]:
-            self.connected_by_kind[kind] = False
+        was_connected = self._contact.connected_by_kind[kind]
+        self._contact.note_watched(kind, is_connected=False)
+        if was_connected:
             _LOG.write(
                 'call to the store failed, retries.',
                 kind=kind.value,
@@ -171,8 +177,9 @@
             )
 
     def _note_success(self, kind: registry.Kind) -> None:
-        if not self.connected_by_kind[kind]:
-            self.connected_by_kind[kind] = True
+        was_connected = self._contact.connected_by_kind[kind]
+        self._contact.note_watched(kind, is_connected=True)
+        if not was_connected:
             _LOG.write(
                 'connected to the store.',
                 kind=kind.value,
--- a/pimentoway/ops/view_test.py
+++ b/pimentoway/ops/view_test.py
@@ -6,7 +6,12 @@
 from gevent import event as gevent_event
 
 from pimentoway.core import deployment, error, registry
-from pimentoway.ops import registrywatcher, restoration, view
+from pimentoway.ops import (
+    registrywatcher,
+    restoration,
+    storecontact,
+    view,
+)
 from pimentoway.standin import paused_loop
 
 Kind = registry.Kind
@@ -201,6 +206,9 @@
         self.waits.append(seconds)
         return self._answer(f'watch {revision}')
 
+    def check(self) -> None:
+        """Do nothing, as the store answers."""
+
     def put_peer(self, peer: deployment.Peer) -> None:
         """Do nothing.
 
@@ -302,6 +310,23 @@
         return registry.Changes(len(self._added), tuple(self._added[revision:]))
 
 
+def make_watcher(
+    source: registry.Registry, registry_view: view.View
+) -> registrywatcher.RegistryWatcher:
+    """Make the watcher of a node that always watches the store.
+
+    Args:
+        source: The registry in the store.
+        registry_view: The view to update.
+
+    Returns:
+        The watcher.
+    """
+    return registrywatcher.RegistryWatcher(
+        source, registry_view, lambda: True, storecontact.StoreContact()
+    )
+
+
 def watch_for_ten_seconds(
     *answers: object,
 ) -> tuple[view.View, ScriptedRegistry]:
@@ -315,9 +340,7 @@
     """
     registry_view = view.View()
     source = ScriptedRegistry(*answers)
-    watcher = registrywatcher.RegistryWatcher(
-        source, registry_view, lambda: True
-    )
+    watcher = make_watcher(source, registry_view)
     gevent.spawn(watcher.run, Kind.engines)
     paused_loop.advance(10)
     return registry_view, source
@@ -383,7 +406,7 @@
         error.PlatformUnavailableError('busy', 'watch'),
         registry.Listing(9, {}),
     )
-    watcher = registrywatcher.RegistryWatcher(source, view.View(), lambda: True)
+    watcher = make_watcher(source, view.View())
     task = gevent.spawn(watcher.run, Kind.engines)
     paused_loop.advance(0.01)
     gevent.kill(task, error.WatchExpiredError('restored', 'watch'))
@@ -396,9 +419,7 @@
     """When all nodes start, their registrations end only few watches."""
     registry_view = view.View()
     source = ArrivingRegistry()
-    watcher = registrywatcher.RegistryWatcher(
-        source, registry_view, lambda: True
-    )
+    watcher = make_watcher(source, registry_view)
     gevent.spawn(watcher.run, Kind.peers)
     for number in range(40):
         source.add(f'n{number}')
--- a/pimentoway/platform/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -51,6 +51,9 @@
         gevent.sleep(seconds)
         return registry.Changes(revision, ())
 
+    def check(self) -> None:
+        """Do nothing, as the store answers."""
+
     def put_peer(self, peer: deployment.Peer) -> None:
         """Fail as if the store were down.
 
--- a/pimentoway/platform/node_group.py
+++ b/pimentoway/platform/node_group.py
@@ -147,6 +147,9 @@
             raise error.WatchExpiredError('nodes have changed', 'watch')
         return registry.Changes(revision, ())
 
+    def check(self) -> None:
+        """Do nothing, as the store answers."""
+
     def put_peer(self, peer: deployment.Peer) -> None:
         """Register a node.
 
--- a/pimentoway/platform/store.py
+++ b/pimentoway/platform/store.py
@@ -140,6 +140,15 @@
             _decode_events(kind, watch_answer.events, era),
         )
 
+    def check(self) -> None:
+        """Ask the store for an answer that may be seconds old.
+
+        Such calls cost a tenth, and evacuations are few.
+        """
+        path = _make_path(registry.Kind.evacuations)
+        answer = self._fetch('GET', f'{path}?StaleOk=1')
+        _check_status(answer, 'check', path)
+
     def put_peer(self, peer: deployment.Peer) -> None:
         """Create the entry of a node, or replace that of an earlier run.
 
@@ -279,6 +288,18 @@
         path: str,
         body: dict | None = None,
         wait_seconds: float = 0,
+    ) -> connection.Answer:
+        answer = self._fetch(method, path, body, wait_seconds)
+        self._note_era(answer)
+        _check_status(answer, method, path)
+        return answer
+
+    def _fetch(
+        self,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        wait_seconds: float = 0,
     ) -> connection.Answer:
         metric.PLATFORM_CALLS.labels(method).inc()
         call = connection.Call(
@@ -292,7 +313,7 @@
             gap_seconds=ANSWER_SECONDS,
         )
         try:
-            answer = self._pool.fetch(call)
+            return self._pool.fetch(call)
         except error.ConnectError as fault:
             raise error.PlatformUnavailableError(
                 fault.reason, method, path
@@ -301,9 +322,6 @@
             raise error.PlatformAmbiguousError(
                 fault.reason, method, path
             ) from fault
-        self._note_era(answer)
-        _check_status(answer, method, path)
-        return answer
 
 
 def _make_path(kind: registry.Kind, name: str = '') -> str:
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -30,6 +30,7 @@
     link,
     relaychannel,
     requestrelay,
+    watchduty,
 )
 from pimentoway.ops import (
     broker,
@@ -37,6 +38,7 @@
     rewriter,
     slot,
     slotclient,
+    storecontact,
     view,
 )
 
@@ -152,10 +154,22 @@
         self._election = election.Election(
             settings, self._boot, self.view, self.slots
         )
+        contact = storecontact.StoreContact()
+        self._duty = watchduty.WatchDuty(
+            settings.name,
+            self.view,
+            self._election,
+            self._links.link_by_requester,
+            contact,
+            platform.registry.check,
+        )
+        self._election.tell_contact = self._duty.tell_broker
+        self._links.tell_contact = self._duty.tell_node
         self._watcher = registrywatcher.RegistryWatcher(
             platform.registry,
             self.view,
-            self._election.should_watch_store,
+            self._duty.should_watch_store,
+            contact,
         )
         self._rewriter = rewriter.Rewriter(
             platform.registry, self.view, self.broker.parts, self._is_leader
@@ -199,6 +213,7 @@
         for function in (
             self._register,
             self._election.run,
+            self._duty.run,
             self._run_ticks,
             self._run_sweeps,
             self._run_rollouts,
--- a/pimentoway/tools/recovery_guard.py
+++ b/pimentoway/tools/recovery_guard.py
@@ -1,12 +1,13 @@
 """Guards of answers after errors, and of nodes whose store was restored."""
 
-from pimentoway.tools import guard_text
+from pimentoway.tools import contact_guard, guard_text
 
 _UNANSWERED = 'pimentoway/platform/unanswered_process_test.py'
 _RESTORATION = 'pimentoway/ops/restoration_test.py'
 _REAL = 'real'
 
 GUARDS = (
+    *contact_guard.GUARDS,
     guard_text.Guard(
         'unexpected errors are answered',
         'callers/forward.py',
