Let other tasks run while a peer sends without a pause

What callers saw: while an engine sent events without end to a caller that read them as fast, the node served nobody else until the stream's deadline.

Cause: a read switches to other tasks only if it has to wait, and neither the engine nor the caller let it. gevent.sleep(0) is not enough: the loop runs 50 such turns before it looks for input of other connections.

Evidence: an engine and a caller in a process of their own; a plain request to the node took 2.3 s (bound 0.5 s). Five of the seven cases of flood_process_test failed before: events, comments, empty lines, a relayed stream, and lines read by the own interface. The other two passed before: a body of 4 MB at most, and a rejected caller, of whom 0.5 s are read.

Change: each connection counts what it reads, and pauses for a turn of the loop after 64 KB (or 64 lines of the own interface): direct and relayed answers, the own interface's and the store's, and callers that are rejected.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -89,6 +89,7 @@
         self.idle_since: float = 0
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self._reader = message.AnswerReader()
+        self._turn = connection.Turn()
         self._closed_by_peer = False
         self._current_id = ''
         self._end_by_id: dict[str, float] = {}
@@ -338,6 +339,7 @@
         except OSError as fault:
             raise self._make_cut_error(fault) from fault
         if received:
+            self._turn.note_read(len(received))
             if self.on_received:
                 self.on_received(received)
             self._reader.feed(received)
--- a/pimentoway/callers/connection.py
+++ b/pimentoway/callers/connection.py
@@ -303,8 +303,11 @@
         self._sock.shutdown(gevent_socket.SHUT_WR)
         deadline = clock.read_monotonic() + LINGER_SECONDS
         remaining = LINGER_SECONDS
+        turn = connection.Turn()
         while remaining > 0:
             self._sock.settimeout(remaining)
-            if not self._sock.recv(RECEIVE_BYTES):
+            block = self._sock.recv(RECEIVE_BYTES)
+            if not block:
                 return
+            turn.note_read(len(block))
             remaining = deadline - clock.read_monotonic()
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -15,6 +15,7 @@
 import sys
 import termios
 
+import gevent
 from gevent import monkey
 from gevent import socket as gevent_socket
 from geventhttpclient import response
@@ -34,6 +35,16 @@
 #: The buffer size for reading from a connection.
 BLOCK_BYTES = 16_384
 
+#: The bytes after which a task that reads lets others run.
+TURN_BYTES = 65_536
+
+#: The pause then, in seconds. Without any, gevent would look for input of other
+#: connections only after 50 turns.
+TURN_PAUSE_SECONDS = 0.000001
+
+#: The bytes that count for a line besides its own, for the work of reading it.
+LINE_BYTES = 1024
+
 #: The most bytes of an answer in a row that belong to no body, and the most
 #: bytes of a body that wait to be read; a listing of the platform has a
 #: megabyte.
@@ -117,6 +128,28 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
+class Turn:
+    """Lets other tasks run while one reads what a peer sends without a pause.
+
+    A read switches to other tasks only if it has to wait.
+    """
+
+    def __init__(self) -> None:
+        """Start without bytes."""
+        self._size = 0
+
+    def note_read(self, size: int) -> None:
+        """Count bytes, and let others run after ``TURN_BYTES``.
+
+        Args:
+            size: The number of bytes that were read.
+        """
+        self._size += size
+        if self._size >= TURN_BYTES:
+            self._size = 0
+            gevent.sleep(TURN_PAUSE_SECONDS)
+
+
 class BoundedResponse(response.HTTPSocketResponse):
     """An answer that may neither exceed its limits nor its deadline."""
 
@@ -129,6 +162,7 @@
         """
         self._deadline = call.deadline
         self._framing_size = 0
+        self._turn = Turn()
         super().__init__(sock, block_size=BLOCK_BYTES, method=call.method)
 
     def feed(self, block: bytes) -> None:
@@ -141,6 +175,7 @@
             HTTPParseError: If the answer is invalid or exceeds a limit.
             TimeoutError: If its deadline has passed.
         """
+        self._turn.note_read(len(block))
         buffered = len(self._body_buffer)
         super().feed(block)
         grown = len(self._body_buffer) > buffered
@@ -182,6 +217,7 @@
         self._call = call
         self._sock = sock
         self._reply = reply
+        self._turn = Turn()
 
     def read_header(self, name: str) -> str:
         """Read a header of the answer.
@@ -208,6 +244,7 @@
         Returns:
             The line with its line break; empty at the end of the body.
         """
+        self._turn.note_read(LINE_BYTES)
         self._sock.settimeout(self._call.compute_read_timeout())
         try:
             return self._reply.readline(b'\n')
--- a/pimentoway/nodes/relaychannel.py
+++ b/pimentoway/nodes/relaychannel.py
@@ -129,6 +129,7 @@
             raise self._make_broken_error(str(fault)) from fault
         if not block:
             raise self._make_broken_error('it closed the connection')
+        self._turn.note_read(len(block))
         return block
 
     def _finish(self, end: relayframe.End) -> None:
--- /dev/null
+++ b/pimentoway/tools/flood_guard.py
@@ -0,0 +1,33 @@
+"""Guards against peers that send bytes without end."""
+
+from pimentoway.tools import guard_text
+
+_FLOOD = 'pimentoway/platform/flood_process_test.py'
+_REAL = 'real'
+
+GUARDS = (
+    guard_text.Guard(
+        'a task that reads lets others run',
+        'core/connection.py',
+        '            gevent.sleep(TURN_PAUSE_SECONDS)\n',
+        '            gevent.sleep(0)\n',
+        _FLOOD,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'answers are read in turns',
+        'backends/channel.py',
+        '            self._turn.note_read(len(received))\n',
+        '',
+        _FLOOD,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'lines are read in turns',
+        'core/connection.py',
+        '        self._turn.note_read(LINE_BYTES)\n',
+        '',
+        _FLOOD,
+        _REAL,
+    ),
+)
