Read at most 64 KB behind a refusal

Cause: the body of a refusal is read only to reuse the connection, but up to the 4 MB that the body of an answer may have.

Evidence: test_endless_refusal_is_hardly_read: 4,227,081 bytes of one refusal were read before, at most three reads of 64 KB now. The guard turns red.

--- a/pimentoway/callers/backend_attempt.py
+++ b/pimentoway/callers/backend_attempt.py
@@ -23,6 +23,9 @@
 #: read only to reuse the connection.
 NOT_RUN_BODY_SECONDS = 0.05
 
+#: The largest such body, in bytes, that is read.
+NOT_RUN_BODY_BYTES = 65_536
+
 #: What a broken connection means to a request that is not sent again. The
 #: errors that end a request from outside are none of them.
 _CUT_ERRORS = (error.FailedError, error.OutcomeUnknownError)
@@ -182,7 +185,9 @@
             self._exchange.outcome = slot.Outcome.misdirected
         deadline = clock.read_monotonic() + NOT_RUN_BODY_SECONDS
         try:
-            self._exchange.read_body(min(deadline, self._context.deadline))
+            self._exchange.read_body(
+                min(deadline, self._context.deadline), NOT_RUN_BODY_BYTES
+            )
         except error.ConnectionLostError:
             # The head already says that the request was not run, so only the
             # connection is lost.
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -141,11 +141,14 @@
         """
         return self._read(self._read_body_part)
 
-    def read_body(self, deadline: float) -> bytes:
+    def read_body(
+        self, deadline: float, max_bytes: int = MAX_BUFFERED_BYTES
+    ) -> bytes:
         """Read the whole body of the response.
 
         Args:
             deadline: The monotonic time at which waiting ends.
+            max_bytes: The largest body.
 
         Returns:
             The body.
@@ -157,7 +160,7 @@
         part = self._read_body_part(deadline)
         while part:
             body += part
-            if len(body) > MAX_BUFFERED_BYTES:
+            if len(body) > max_bytes:
                 raise error.ConnectionLostError(
                     'the answer is too large', 'read'
                 )
--- a/pimentoway/platform/edge_process_test.py
+++ b/pimentoway/platform/edge_process_test.py
@@ -8,7 +8,14 @@
 import pytest
 from gevent import socket as gevent_socket
 
-from pimentoway.core import deployment, error, nodesetting, registry
+from pimentoway.backends import channel
+from pimentoway.core import (
+    deployment,
+    error,
+    message,
+    nodesetting,
+    registry,
+)
 from pimentoway.platform import scripted_engine, wire
 from pimentoway.standin import port
 from pimentoway.tools import edge
@@ -696,6 +703,44 @@
     assert status == 200
 
 
+class CountingReader(message.AnswerReader):
+    """Counts the bytes that it parses.
+
+    Attributes:
+        received: The bytes that all readers parsed.
+    """
+
+    received = 0
+
+    def feed(self, block: bytes) -> None:
+        """Count bytes received from the back end, and parse them.
+
+        Args:
+            block: The bytes.
+        """
+        CountingReader.received += len(block)
+        super().feed(block)
+
+
+# Guards against a node that reads megabytes behind each refusal, only to reuse
+# the connection.
+def test_endless_refusal_is_hardly_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next engine is asked after some kilobytes."""
+    shed = Script(
+        status=503,
+        headers=('Pimentoway-Not-Executed: 1',),
+        unframed=True,
+        endless=b'z',
+    )
+    engine = scripted_engine.ScriptedEngine('e1', shed)
+    harness = NodeHarness(engine)
+    monkeypatch.setattr(message, 'AnswerReader', CountingReader)
+    assert harness.call('/unsafe/x')[0] == 503
+    assert CountingReader.received <= 3 * channel.RECEIVE_BYTES
+
+
 def test_call_is_cancelled_if_caller_leaves() -> None:
     """The connection to the engine is closed soon after the caller's."""
     engine = scripted_engine.ScriptedEngine('e1', Script(silent=True))
--- a/pimentoway/tools/flood_guard.py
+++ b/pimentoway/tools/flood_guard.py
@@ -3,6 +3,7 @@
 from pimentoway.tools import guard_text
 
 _FLOOD = 'pimentoway/platform/flood_process_test.py'
+_EDGE = 'pimentoway/platform/edge_process_test.py -k endless'
 _REAL = 'real'
 
 GUARDS = (
@@ -22,6 +23,14 @@
         _FLOOD,
         _REAL,
     ),
+    guard_text.Guard(
+        'little is read behind a refusal',
+        'callers/exchange.py',
+        '            if len(body) > max_bytes:\n',
+        '            if len(body) > MAX_BUFFERED_BYTES:\n',
+        _EDGE,
+        _REAL,
+    ),
     guard_text.Guard(
         'lines are read in turns',
         'core/connection.py',
