Let the bodies of answers share a budget of memory

What operators reported: a faulty engine sent bytes without end, the machine that had called it ran out of memory, and its other clients' requests ended.

Cause here: a body may have 4 MB, and nothing bounds their sum. Bodies that stall before their end are held until the deadline of their requests.

Change: what a body has beyond 64 KB is taken from a budget of 0.15 of the node's memory, until the answer is written. Without room the answer counts as broken off. Usual answers are smaller and need none of it.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -14,7 +14,14 @@
 from gevent import socket as gevent_socket
 
 from pimentoway.backends import pathprobe
-from pimentoway.core import call, clock, connection, error, message
+from pimentoway.core import (
+    budget,
+    call,
+    clock,
+    connection,
+    error,
+    message,
+)
 
 #: Seconds to connect to a back end. TCP retransmits a lost SYN only after a
 #: second, which is too late for most requests.
@@ -396,18 +403,23 @@
         open_by_engine: The number of open connections, idle or in use, by the
             name of the back end.
         lost_paths: The back ends to which no connection could be opened.
+        answer_budget: The bytes that the bodies of responses may hold together
+            in the node.
     """
 
-    def __init__(self, dialect: call.Dialect) -> None:
+    def __init__(self, dialect: call.Dialect, answer_bytes: int = 0) -> None:
         """Start without connections.
 
         Args:
             dialect: Decodes the metadata in the headers of responses.
+            answer_bytes: The bytes that the bodies of responses may hold; 0 for
+                no limit.
         """
         self._dialect = dialect
         self.opened_count = 0
         self.open_by_engine: collections.Counter[str] = collections.Counter()
         self.lost_paths = pathprobe.LostPaths()
+        self.answer_budget = budget.ByteBudget(answer_bytes)
         self._idle_by_engine: dict[str, list[Channel]] = {}
 
     def acquire(
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -8,13 +8,17 @@
     patience,
     request_context,
 )
-from pimentoway.core import call, clock, deployment, error, message
+from pimentoway.core import budget, call, clock, deployment, error, message
 from pimentoway.nodes import relaychannel
 from pimentoway.ops import slot
 
 #: The largest response body, in bytes, that is buffered.
 MAX_BUFFERED_BYTES = 0x400000
 
+#: The bytes of a body for which nothing is taken from the common budget, so
+#: that usual answers do not depend on it.
+FREE_BYTES = 0x10000
+
 
 class Exchange:
     """A request at one back end.
@@ -61,6 +65,9 @@
         self._dependencies = dependencies
         self._context = context
         self._slot_request = slot_request
+        self._reservation = budget.Reservation(
+            dependencies.channels.answer_budget
+        )
         self._started = clock.read_monotonic()
         self._events_before = context.event_splitter.count
         self._reader = patience.PatientReader(
@@ -154,7 +161,8 @@
             The body.
 
         Raises:
-            ConnectionLostError: If it does not come whole, or is too large.
+            ConnectionLostError: If it does not come whole, is too large, or
+                the node has no room for it.
         """
         body = bytearray()
         part = self._read_body_part(deadline)
@@ -164,6 +172,10 @@
                 raise error.ConnectionLostError(
                     'the answer is too large', 'read'
                 )
+            if not self._reservation.extend(len(body) - FREE_BYTES):
+                raise error.ConnectionLostError(
+                    'the node holds as many answers as it can', 'read'
+                )
             part = self._read_body_part(deadline)
         return bytes(body)
 
@@ -242,6 +254,7 @@
     def close(self) -> None:
         """Keep or close the connection, and report to the broker."""
         self.handover.stop()
+        self._reservation.release()
         if self._reader.is_lost and not self.conn.is_acknowledged():
             # The back end would run what is still on its way.
             self.conn.reset_on_close()
--- a/pimentoway/core/budget.py
+++ b/pimentoway/core/budget.py
@@ -38,3 +38,38 @@
             size: The number of bytes.
         """
         self.used -= size
+
+
+class Reservation:
+    """The bytes that one answer has reserved."""
+
+    def __init__(self, source: ByteBudget) -> None:
+        """Start with nothing reserved.
+
+        Args:
+            source: The budget.
+        """
+        self._source = source
+        self._size = 0
+
+    def extend(self, size: int) -> bool:
+        """Reserve more bytes, unless as many are reserved already.
+
+        Args:
+            size: The number of bytes that are needed in all.
+
+        Returns:
+            Whether they fit; if not, none was reserved.
+        """
+        missing = size - self._size
+        if missing <= 0:
+            return True
+        if not self._source.reserve(missing):
+            return False
+        self._size = size
+        return True
+
+    def release(self) -> None:
+        """Release the reserved bytes."""
+        self._source.release(self._size)
+        self._size = 0
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -84,6 +84,10 @@
 #: of 128.
 BODY_MEMORY_FRACTION = 0.15
 
+#: The fraction that the large answers of back ends may use: faulty ones, which
+#: send without end, as answers are small.
+ANSWER_MEMORY_FRACTION = 0.15
+
 #: The most connections that wait to be accepted, on each stream socket.
 BACKLOG = 512
 
@@ -174,7 +178,10 @@
         self._rewriter = rewriter.Rewriter(
             platform.registry, self.view, self.broker.parts, self._is_leader
         )
-        self._channels = channel.ChannelPool(platform.dialect)
+        self._channels = channel.ChannelPool(
+            platform.dialect,
+            int(settings.memory_bytes * ANSWER_MEMORY_FRACTION),
+        )
         self._forwarder = forward.Forwarder(
             settings.zone,
             self.view,
--- a/pimentoway/tools/flood_guard.py
+++ b/pimentoway/tools/flood_guard.py
@@ -4,6 +4,7 @@
 
 _FLOOD = 'pimentoway/platform/flood_process_test.py'
 _EDGE = 'pimentoway/platform/edge_process_test.py -k endless'
+_MEMORY = 'pimentoway/platform/answermemory_process_test.py'
 _REAL = 'real'
 
 GUARDS = (
@@ -31,6 +32,22 @@
         _EDGE,
         _REAL,
     ),
+    guard_text.Guard(
+        'large answers share a budget',
+        'callers/exchange.py',
+        'if not self._reservation.extend(len(body) - FREE_BYTES):',
+        'if False:',
+        _MEMORY,
+        _REAL,
+    ),
+    guard_text.Guard(
+        'usual answers need no budget',
+        'callers/exchange.py',
+        'self._reservation.extend(len(body) - FREE_BYTES)',
+        'self._reservation.extend(len(body))',
+        _MEMORY,
+        _REAL,
+    ),
     guard_text.Guard(
         'lines are read in turns',
         'core/connection.py',
