Tell a timeout of the kernel from one of a read

What callers saw: an engine that answers before it reads a long body streamed events; after 5 s the stream reached the caller shortened and complete (ORDER).

Cause: the kernel gives up a connection whose window stays closed, with ETIMEDOUT, which Python raises as TimeoutError like a timeout of the read. The reader went on as after a silence, and the second read of the broken socket returned the end of the stream, which completes an answer without a length.

Evidence: latereader_process_test failed before in 3 of 3 cases: two routes, and a relayed stream, where the relay told of a silence and the node did not yield for 1.2 s.

Change: the two are told apart by the error's number, and a connection that broke is not read again.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -339,12 +339,8 @@
         self._sock.settimeout(remaining)
         try:
             received = self._sock.recv(RECEIVE_BYTES)
-        except TimeoutError as fault:
-            raise SilentError(
-                'no answer in time', 'read', self.address
-            ) from fault
         except OSError as fault:
-            raise self._make_cut_error(fault) from fault
+            raise self._make_read_error(fault) from fault
         if received:
             self._turn.note_read(len(received))
             if self.on_received:
@@ -365,7 +361,14 @@
         responses = self._reader.answers
         return bool(responses) and responses[-1].complete
 
+    def _make_read_error(self, fault: OSError) -> error.ConnectionLostError:
+        if connection.is_expired(fault):
+            return SilentError('no answer in time', 'read', self.address)
+        return self._make_cut_error(fault)
+
     def _make_cut_error(self, fault: OSError) -> error.ConnectionLostError:
+        # A broken connection that is read again shows an orderly end.
+        self._closed_by_peer = True
         return error.ConnectionLostError(
             f'it broke: {fault}', 'exchange', self.address
         )
--- a/pimentoway/core/connection.py
+++ b/pimentoway/core/connection.py
@@ -394,6 +394,19 @@
     return bool(poller.poll(0))
 
 
+def is_expired(fault: OSError) -> bool:
+    """Tell whether the timeout of a call has passed.
+
+    Args:
+        fault: What the call raised.
+
+    Returns:
+        Whether it has. If not, the kernel has given the connection up, which
+        Python reports by the same class.
+    """
+    return isinstance(fault, TimeoutError) and fault.errno is None
+
+
 def count_unacknowledged(sock: gevent_socket.socket) -> int:
     """Count the sent bytes that the peer's kernel has not acknowledged.
 
--- a/pimentoway/nodes/relaychannel.py
+++ b/pimentoway/nodes/relaychannel.py
@@ -121,11 +121,11 @@
         self._sock.settimeout(remaining)
         try:
             block = self._sock.recv(channel.RECEIVE_BYTES)
-        except TimeoutError as late:
-            raise channel.SilentError(
-                'no answer in time', 'read', self.address
-            ) from late
         except OSError as fault:
+            if connection.is_expired(fault):
+                raise channel.SilentError(
+                    'no answer in time', 'read', self.address
+                ) from fault
             raise self._make_broken_error(str(fault)) from fault
         if not block:
             raise self._make_broken_error('it closed the connection')
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -7,6 +7,14 @@
 _REAL = 'real'
 
 GUARDS = (
+    guard_text.Guard(
+        'a timeout of the kernel is no silence',
+        'core/connection.py',
+        'return isinstance(fault, TimeoutError) and fault.errno is None',
+        'return isinstance(fault, TimeoutError)',
+        'pimentoway/platform/latereader_process_test.py',
+        'real',
+    ),
     guard_text.Guard(
         'a request that was lost on its way returns its slot',
         'callers/patience.py',
