End an exchange when its relay tells of a silence

What callers saw: a node that had long streams relayed answered nobody, until the deadline of the streams (CONFIG).

Cause: a relay that tells of a silence before the deadline of the request ends the exchange, and the asking node took it for a silence that may pass: it read again, got the same at once, and did not yield.

Change: the end is an error of its own, after which nobody reads on, neither the reader nor a handover.

--- a/pimentoway/backends/channel.py
+++ b/pimentoway/backends/channel.py
@@ -60,6 +60,10 @@
     """The back end neither sent nor read bytes before the deadline."""
 
 
+class SilentEndError(SilentError):
+    """The node that relays the request tells that it was silent to the end."""
+
+
 class Channel:
     """A connection to a back end that carries one request at a time.
 
--- a/pimentoway/callers/exchange.py
+++ b/pimentoway/callers/exchange.py
@@ -129,6 +129,8 @@
             return False
         try:
             self._read_head(clock.read_monotonic() + patience.MIN_READ_SECONDS)
+        except channel.SilentEndError as ended:
+            raise self.handle_cut(ended) from ended
         except channel.SilentError:
             return False
         except error.ConnectionLostError as fault:
--- a/pimentoway/callers/patience.py
+++ b/pimentoway/callers/patience.py
@@ -90,8 +90,8 @@
         while True:
             try:
                 return read(self._compute_deadline())
-            except channel.SilentError:
-                if clock.read_monotonic() >= self._context.deadline:
+            except channel.SilentError as silence:
+                if self._is_over(silence):
                     raise
             self._check_acknowledged()
             self._check_silence()
@@ -113,6 +113,11 @@
         """
         self._check_silence()
 
+    def _is_over(self, silence: channel.SilentError) -> bool:
+        # After the end of a relayed exchange another read would fail at once.
+        is_end = isinstance(silence, channel.SilentEndError)
+        return is_end or clock.read_monotonic() >= self._context.deadline
+
     def _may_go_on_elsewhere(self) -> bool:
         route = self._context.route
         may_repeat = route.resumable or (route.idempotent and self.is_lost)
--- a/pimentoway/nodes/relaychannel.py
+++ b/pimentoway/nodes/relaychannel.py
@@ -153,7 +153,7 @@
 _ERRORS_BY_END = types.MappingProxyType(
     {
         relayframe.End.reset: error.ConnectionLostError,
-        relayframe.End.silent: channel.SilentError,
+        relayframe.End.silent: channel.SilentEndError,
         relayframe.End.crashed: CrashedError,
     }
 )
--- a/pimentoway/platform/relayed_process_test.py
+++ b/pimentoway/platform/relayed_process_test.py
@@ -6,7 +6,9 @@
 import msgspec
 import pytest
 
-from pimentoway.core import deployment, registry
+from pimentoway.backends import channel
+from pimentoway.core import clock, deployment, registry
+from pimentoway.nodes import requestrelay
 from pimentoway.ops import slot
 from pimentoway.platform import edge_process_test, scripted_engine
 from pimentoway.tools import edge
@@ -195,6 +197,32 @@
     assert relayed.list_outcomes() == [slot.Outcome.abandoned]
 
 
+def end_early(*options: object) -> None:
+    """Fail as if the back end had been silent until the deadline.
+
+    Args:
+        *options: Ignored.
+
+    Raises:
+        SilentError: Always.
+    """
+    gevent.sleep(0.1)
+    raise channel.SilentError('no answer in time', 'read')
+
+
+# Guards against a node that serves nobody until the deadline of a request, as
+# its relay told of a silence before its time.
+def test_early_silence_of_a_relay_is_an_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The caller gets its answer at once, and other tasks run meanwhile."""
+    monkeypatch.setattr(requestrelay._Run, '_send_and_receive', end_early)
+    relayed = RelayedNode(scripted_engine.ScriptedEngine('e1'))
+    started = clock.read_monotonic()
+    assert relayed.node.call('/unsafe/x')[0] == 504
+    assert clock.read_monotonic() - started < LEAVE_SECONDS
+
+
 def test_caller_that_leaves_reaches_the_engine() -> None:
     """Through both nodes, so that it stops its work."""
     engine = scripted_engine.ScriptedEngine('e1', Script(silent=True))
--- a/pimentoway/tools/silence_guard.py
+++ b/pimentoway/tools/silence_guard.py
@@ -7,6 +7,14 @@
 _REAL = 'real'
 
 GUARDS = (
+    guard_text.Guard(
+        'a silence that a relay tells of is an end',
+        'callers/patience.py',
+        'return is_end or clock',
+        'return clock',
+        'pimentoway/platform/relayed_process_test.py -k early',
+        'real',
+    ),
     guard_text.Guard(
         'a timeout of the kernel is no silence',
         'core/connection.py',
