Ask what is cheap first when a heartbeat is written

Each heartbeat of a node that does not watch the store ranked the nodes of its failure domain, to tell its broker that the store does not answer it. Whether the node watches with success is a look at six flags, so that comes first. The gauge of the contact is written when it changes. Read from the code; no figure was measured.

--- a/pimentoway/nodes/watchduty.py
+++ b/pimentoway/nodes/watchduty.py
@@ -108,7 +108,7 @@
         Returns:
             What to tell; nothing that was learnt from others.
         """
-        is_kept = self.should_watch_store() and self._contact.is_kept()
+        is_kept = self._contact.is_kept() and self.should_watch_store()
         if is_kept and self._contact.has_answered_within(FRESH_SECONDS):
             return frame.Contact.kept
         return frame.Contact.lost
--- a/pimentoway/ops/storecontact.py
+++ b/pimentoway/ops/storecontact.py
@@ -59,10 +59,11 @@
             kind: The kind.
             is_connected: Whether both hold.
         """
-        self.connected_by_kind[kind] = is_connected
-        metric.STORE_CONTACT.set(self.is_kept())
         if is_connected:
             self.note_answer()
+        if self.connected_by_kind[kind] is not is_connected:
+            self.connected_by_kind[kind] = is_connected
+            metric.STORE_CONTACT.set(self.is_kept())
 
     @contextlib.contextmanager
     def wait(self) -> collections.abc.Generator[None, None, None]:
