Log the answers of both versions where a rollout is decided

The lines named the good answers only, so they could not tell whether the usual rate was too high or bad answers were left out.

--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -417,12 +417,29 @@
                 service=rollout.order.service,
                 version=rollout.order.version,
                 route=route,
-                good=tally.count.good,
-                bad=tally.count.bad,
-                usual=round(baseline, 3),
-                starts=rollout.new_starts,
+                **self._describe(rollout, route),
             )
 
+    def _describe(
+        self, rollout: RolloutProgress, route: str
+    ) -> dict[str, object]:
+        # What a decision on the rollout rests on.
+        new = rollout.find_tally(True, route)
+        old = rollout.find_tally(False, route)
+        bounds = self._bounds
+        allowed = bounds.exposure_share * rollout.starts + bounds.exposure_slack
+        return {
+            'good': new.count.good,
+            'bad': new.count.bad,
+            'old_good': old.count.good,
+            'old_bad': old.count.bad,
+            'usual': round(old.count.measure_bad_rate(), 3),
+            'score': round(new.score, 2),
+            'starts': rollout.starts,
+            'new_starts': rollout.new_starts,
+            'allowed': round(allowed, 1),
+        }
+
     def _raise_share(self, rollout: RolloutProgress) -> None:
         share = self._find_share(rollout)
         if share <= rollout.share:
@@ -435,9 +452,7 @@
             service=rollout.order.service,
             version=rollout.order.version,
             share=share,
-            good=rollout.count_good(),
-            starts=rollout.starts,
-            new_starts=rollout.new_starts,
+            **self._describe(rollout, ALL_ROUTES),
         )
 
     def _find_share(self, rollout: RolloutProgress) -> float:
