Add a red test: trouble of the old version hides a bad one

A bad version that fails 0.4 of its requests, or takes six times as long, is completed when the old one does the same around the order.

--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -1,5 +1,6 @@
 """Tests of canary rollouts at the broker."""
 
+import dataclasses
 import random
 
 import msgspec
@@ -26,11 +27,14 @@
         reports_fail: Whether decided states never reach the registry.
     """
 
-    def __init__(self, order: deployment.Rollout = ORDER) -> None:
+    def __init__(
+        self, order: deployment.Rollout | None = ORDER, seed: int = 1
+    ) -> None:
         """Start a rollout with one back end of each version.
 
         Args:
-            order: The order.
+            order: The order; None if ``order`` is called later.
+            seed: The seed of the failures.
         """
         self.reports_fail = False
         self.view = view.View()
@@ -41,7 +45,7 @@
         self.new_starts = 0
         self.starts = 0
         self._revision = 0
-        self._random = random.Random(1)
+        self._random = random.Random(seed)
         self._states = {
             version: enginestate.EngineState(self._make_engine(version))
             for version in ('v1', 'v2')
@@ -52,9 +56,29 @@
                 engine_state.engine.name,
                 engine_state.engine,
             )
-        self._change(registry.Kind.rollouts, 's', order)
+        if order:
+            self.order(order)
         paused_loop.advance(0)
 
+    def order(self, order: deployment.Rollout = ORDER) -> None:
+        """Give the order; only the requests after it are counted.
+
+        Args:
+            order: The order.
+        """
+        self.starts = self.new_starts = 0
+        self._change(registry.Kind.rollouts, 's', order)
+
+    def is_within_bounds(self) -> bool:
+        """Tell whether the new version got what a bad one may get.
+
+        Returns:
+            Whether it got no more requests.
+        """
+        bounds = nodesetting.Bounds()
+        limit = bounds.exposure_share * self.starts + bounds.exposure_slack
+        return self.new_starts <= limit
+
     def run(
         self,
         seconds: float,
@@ -62,6 +86,8 @@
         bad_route: str = '',
         slowdown: float = 1,
         rate: float = 40,
+        old_bad_rate: float = 0,
+        old_slowdown: float = 1,
     ) -> None:
         """Send requests one after another.
 
@@ -72,6 +98,10 @@
             slowdown: The duration of the new version's answers, relative to
                 the old version's.
             rate: The requests a second.
+            old_bad_rate: The fraction of the old version's answers that are
+                bad.
+            old_slowdown: The duration of the old version's answers, relative
+                to the usual one.
         """
         for number in range(int(seconds * rate)):
             paused_loop.advance(1 / rate)
@@ -81,10 +111,13 @@
             self.table.note_start(engine_state.engine)
             new = engine_state.engine.version == 'v2'
             self.new_starts += new
-            bad = new and self._random.random() < bad_rate
-            if bad_route and bad_route != route:
+            failing = bad_rate if new else old_bad_rate
+            bad = failing > 0 and self._random.random() < failing
+            if new and bad_route and bad_route != route:
                 bad = False
-            self._end(engine_state, route, bad, slowdown if new else 1)
+            self._end(
+                engine_state, route, bad, slowdown if new else old_slowdown
+            )
             self._decide()
 
     def _choose(self) -> enginestate.EngineState:
@@ -171,6 +204,29 @@
     assert rollout.new_starts <= limit
 
 
+@pytest.mark.xfail(strict=True)
+@pytest.mark.parametrize(
+    ('fault', 'old_fault'),
+    [
+        ({'bad_rate': 0.4}, {'old_bad_rate': 0.45}),
+        ({'slowdown': 6}, {'old_slowdown': 6}),
+    ],
+)
+def test_trouble_of_the_old_version_hides_no_bad_one(
+    fault: dict, old_fault: dict
+) -> None:
+    """The old version's trouble counted as usual: the bad one was kept."""
+    for seed in range(20):
+        rollout = SimulatedRollout(None, seed)
+        rollout.run(3, rate=15)
+        rollout.run(1, rate=15, **old_fault)
+        rollout.order(dataclasses.replace(ORDER, seconds=16))
+        rollout.run(7, rate=15, **fault, **old_fault)
+        rollout.run(9, rate=15, **fault)
+        assert rollout.states[-1] is rolloutprogress.State.reverted
+        assert rollout.is_within_bounds()
+
+
 def test_version_that_turns_bad_is_reverted() -> None:
     """The version fails only after it gets all requests."""
     rollout = SimulatedRollout()
