End the judgement of a version with its rollout

Callers were refused by a service whose back ends were all sound: after a complete rollout its answers were still counted, so some seconds of failures found the version bad, and with one usable version a bad one is refused.

After the result is reported, failures are ordinary failures: they count as what is usual of the service, and no version is refused while it is the only one.

--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -117,6 +117,29 @@
         """
         return self.order.state in {State.complete.value, State.reverted.value}
 
+    @property
+    def is_rejected(self) -> bool:
+        """Tell whether the new version gets no request any more.
+
+        Returns:
+            Whether it was found bad here, or its reversion was reported; once
+            it is complete, its failures no longer count.
+        """
+        if self.order.state == State.complete.value:
+            return False
+        return self.found_bad or self.order.state == State.reverted.value
+
+    @property
+    def has_all_requests(self) -> bool:
+        """Tell whether the new version gets all requests.
+
+        Returns:
+            Whether it does, as long as it has a usable back end.
+        """
+        if self.order.state == State.complete.value:
+            return True
+        return bool(self.full_share_since) and not self.is_rejected
+
     def measure_elapsed(self) -> float:
         """Measure the time since the order.
 
@@ -210,16 +233,14 @@
             return True
         new = engine.version == rollout.order.version
         versions = self._versions_by_service.get(engine.service, set())
+        if rollout.has_all_requests:
+            # The other versions serve rather than none.
+            return new or rollout.order.version not in versions
         if len(versions) < 2:
             # With one usable version, only a bad one is refused.
-            return not (new and rollout.found_bad)
-        if rollout.found_bad or rollout.order.state == State.reverted.value:
+            return not (new and rollout.is_rejected)
+        if rollout.is_rejected:
             return not new
-        if (
-            rollout.full_share_since
-            or rollout.order.state == State.complete.value
-        ):
-            return new
         return not new or self._may_start_new(rollout)
 
     def prefer(
@@ -291,7 +312,7 @@
             )
         if report.outcome not in COUNTED_OUTCOMES and not bad:
             return
-        if rollout is None or not new:
+        if rollout is None or rollout.is_over or not new:
             usual.note(request.route, report, bad, timed)
             self._close_window(usual, rollout)
             return
--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -119,6 +119,15 @@
             self._end(engine_state, route, bad, duration)
             self._decide()
 
+    def remove(self, version: str) -> None:
+        """Remove the back end of a version.
+
+        Args:
+            version: The name of the version.
+        """
+        self._states.pop(version)
+        self._change(registry.Kind.engines, version, None)
+
     def _choose(self) -> enginestate.EngineState:
         allowed = [
             engine_state
@@ -161,7 +170,10 @@
         )
 
     def _change(
-        self, kind: registry.Kind, name: str, record: registry.Record
+        self,
+        kind: registry.Kind,
+        name: str,
+        record: registry.Record | None,
     ) -> None:
         self._revision += 1
         self.view.apply_changes(
@@ -376,3 +388,17 @@
         for _ in range(4):
             rollout.table.note_end(engine_state, request, report)
     assert rollout.states[-1] is rolloutprogress.State.complete
+
+
+@pytest.mark.parametrize('failing', ['v1', 'v2'])
+def test_ended_rollout_refuses_no_request(failing: str) -> None:
+    """After a complete rollout, some failures turned the service off."""
+    complete_order = deployment.Rollout('s', 'v2', 12, 'o1', 'complete', 4)
+    rollout = SimulatedRollout(complete_order)
+    rollout.remove('v1' if failing == 'v2' else 'v2')
+    rollout.old_bad_rate = 1
+    rollout.run(8, bad_rate=1)
+    rollout.old_bad_rate = 0
+    starts_before = rollout.starts
+    rollout.run(1)
+    assert rollout.starts == starts_before + 40
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -3,6 +3,7 @@
 from pimentoway.tools import guard_text
 
 _EDGE = 'pimentoway/platform/edge_process_test.py'
+_ROLLOUT = 'pimentoway/ops/rolloutprogress_test.py'
 _BROKER = 'pimentoway/ops/broker_test.py'
 _PARTS = 'pimentoway/ops/partledger_test.py'
 _REAL = 'real'
@@ -305,7 +306,7 @@
         'ops/rolloutprogress.py',
         'TIMED_OUTCOMES = slot.UNFINISHED_OUTCOMES | {slot.Outcome.answered}',
         'TIMED_OUTCOMES = frozenset((slot.Outcome.answered,))',
-        'pimentoway/ops/rolloutprogress_test.py',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'guaranteed part of long answers',
@@ -412,37 +413,44 @@
     guard_text.Guard(
         'a bad version gets nothing more',
         'ops/rolloutprogress.py',
-        'if rollout.found_bad or rollout.order.state == State.reverted.value:',
-        'if rollout.order.state == State.reverted.value:',
-        'pimentoway/ops/rolloutprogress_test.py',
+        'return self.found_bad or self.order.state == State.reverted.value',
+        'return self.order.state == State.reverted.value',
+        _ROLLOUT,
+    ),
+    guard_text.Guard(
+        'answers after the end of a rollout blame no version',
+        'ops/rolloutprogress.py',
+        '        if rollout is None or rollout.is_over or not new:\n',
+        '        if rollout is None or not new:\n',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'a new version gets a small share',
         'ops/rolloutprogress.py',
         '        return not new or self._may_start_new(rollout)',
         '        return True',
-        'pimentoway/ops/rolloutprogress_test.py',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'a larger share stays within what a bad version may get',
         'ops/rolloutprogress.py',
         'min(allowed, budget)',
         'allowed',
-        'pimentoway/ops/rolloutprogress_test.py',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'disturbed windows are not usual',
         'ops/baseline.py',
         '                if not window.is_disturbed(self._calm_rate):\n',
         '                if True:\n',
-        'pimentoway/ops/rolloutprogress_test.py',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'bad answers speak against a version',
         'ops/versionevidence.py',
         '        return calm + min(0, self._disturbed) + max(0, latest)\n',
         '        return -0.25 * self.count_by_route[ALL_ROUTES].good\n',
-        'pimentoway/ops/rolloutprogress_test.py',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'trouble of both versions blames none',
@@ -450,14 +458,14 @@
         '        return min(MAX_CURRENT_RATE, usual + '
         'max(0, excess, own - usual))\n',
         '        return usual\n',
-        'pimentoway/ops/rolloutprogress_test.py',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'slow answers count against a version',
         'ops/baseline.py',
         '            return report.total_seconds > ratio * usual\n',
         '            return False\n',
-        'pimentoway/ops/rolloutprogress_test.py',
+        _ROLLOUT,
     ),
     guard_text.Guard(
         'a look at a connection lets nothing else run',
