Count only requests that were sent towards a version's share

A request counted when it was granted, and stayed counted if nothing was sent: while back ends could not be reached, each attempt raised the number of requests that a bad version may get, where the bound counts those that reached the service. Such a grant is taken back from both counts now. The test failed before.

--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -90,7 +90,7 @@
         share: The fraction of requests that the new version may get.
         full_share_since: The monotonic time at which it got all requests; 0
             before.
-        starts: The requests to the service since ``started``.
+        starts: The requests that were sent to the service since ``started``.
         new_starts: Those of them to the new version.
         window_starts: The requests since the last window of the baseline.
         window_new_starts: Those of them to the new version.
@@ -140,6 +140,17 @@
             return True
         return bool(self.full_share_since) and not self.is_rejected
 
+    def count_start(self, new: bool, starts: int = 1) -> None:
+        """Count requests.
+
+        Args:
+            new: Whether they go to the new version.
+            starts: Their number; negative if they were not sent after all.
+        """
+        self.starts = max(0, self.starts + starts)
+        if new:
+            self.new_starts = max(0, self.new_starts + starts)
+
     def measure_elapsed(self) -> float:
         """Measure the time since the order.
 
@@ -274,8 +285,7 @@
         rollout = self._progress_by_service.get(engine.service)
         if rollout:
             new = engine.version == rollout.order.version
-            rollout.starts += 1
-            rollout.new_starts += new
+            rollout.count_start(new)
             rollout.window_starts += 1
             rollout.window_new_starts += new
 
@@ -301,6 +311,8 @@
         new = bool(
             rollout and engine_state.engine.version == rollout.order.version
         )
+        if report.outcome in slot.UNSENT_OUTCOMES and rollout:
+            rollout.count_start(new, -1)
         usual = self._baseline_by_service[request.service]
         timed = _is_timed(engine_state)
         bad = report.outcome is slot.Outcome.failed
--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -402,3 +402,15 @@
     starts_before = rollout.starts
     rollout.run(1)
     assert rollout.starts == starts_before + 40
+
+
+def test_unsent_requests_raise_no_allowance() -> None:
+    """Requests that reached no back end counted as requests to the service."""
+    rollout = SimulatedRollout()
+    old = rollout._states['v1']
+    for _ in range(1000):
+        rollout.table.note_start(old.engine)
+        report = slot.Report(1, slot.Outcome.unreachable)
+        rollout.table.note_end(old, SLOT_REQUEST, report)
+    rollout.run(ORDER.seconds / 2, rate=60)
+    assert rollout.is_within_bounds()
