Hold an unproven version to its bounds while it is alone

While no back end of the old version was usable (evacuated, leaving, gone from the store), the new version got every request, without a bound, before anything was known of it. It may now use what is left for a bad version at once, and serves everything as soon as its answers show that it is good; they are not kept for a window of a version that answers nothing.

--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -247,12 +247,11 @@
         if rollout.has_all_requests:
             # The other versions serve rather than none.
             return new or rollout.order.version not in versions
-        if len(versions) < 2:
-            # With one usable version, only a bad one is refused.
-            return not (new and rollout.is_rejected)
+        if not new:
+            return True
         if rollout.is_rejected:
-            return not new
-        return not new or self._may_start_new(rollout)
+            return False
+        return self._may_start_new(rollout)
 
     def prefer(
         self, service: str, allowed: list[enginestate.EngineState]
@@ -330,6 +329,9 @@
             return
         rollout.evidence.note(request.route, bad, bad_now)
         self._close_window(usual, rollout)
+        if self._is_alone(request.service):
+            # There are no answers at the same time to wait for.
+            rollout.evidence.close_window(disturbed=False)
         route = rollout.evidence.find_bad_route()
         if route is not None and not rollout.found_bad:
             self._reject(rollout, 'bad answers', route)
@@ -367,12 +369,20 @@
         """
         return list(self._progress_by_service)
 
+    def _is_alone(self, service: str) -> bool:
+        return len(self._versions_by_service.get(service, ())) < 2
+
     def _may_start_new(self, rollout: RolloutProgress) -> bool:
+        budget = BUDGET_FRACTION * self._measure_allowed(rollout)
+        if self._is_alone(rollout.order.service):
+            # Nothing is gained by keeping to the first share, as the requests
+            # would be refused.
+            good = rollout.evidence.favours_good(versionevidence.GOOD_ODDS)
+            return good or rollout.new_starts + 1 <= budget
         if rollout.evidence.is_held():
             return False
         slack = self._bounds.exposure_slack * FIRST_SLACK_FRACTION
         allowed = rollout.share * (rollout.starts + 1) + slack
-        budget = BUDGET_FRACTION * self._measure_allowed(rollout)
         # The version in use keeps enough requests to be compared with.
         paced = RAMP_SHARE * (rollout.window_starts + 1) + WINDOW_SLACK
         return (
--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -107,14 +107,17 @@
             paused_loop.advance(1 / rate)
             route = f'r{number % 4}'
             engine_state = self._choose()
+            if engine_state is None:
+                self._decide()
+                continue
             self.starts += 1
             self.table.note_start(engine_state.engine)
             new = engine_state.engine.version == 'v2'
             self.new_starts += new
-            failing = bad_rate if new else self.old_bad_rate
-            bad = failing > 0 and self._random.random() < failing
-            if new and bad_route and bad_route != route:
-                bad = False
+            if new:
+                bad = route.startswith(bad_route) and self._fails(bad_rate)
+            else:
+                bad = self._fails(self.old_bad_rate)
             duration = slowdown if new else self.old_slowdown
             self._end(engine_state, route, bad, duration)
             self._decide()
@@ -128,13 +131,16 @@
         self._states.pop(version)
         self._change(registry.Kind.engines, version, None)
 
-    def _choose(self) -> enginestate.EngineState:
+    def _fails(self, rate: float) -> bool:
+        return rate > 0 and self._random.random() < rate
+
+    def _choose(self) -> enginestate.EngineState | None:
         allowed = [
             engine_state
             for engine_state in self._states.values()
             if self.table.allows(engine_state.engine)
         ]
-        return self.table.prefer('s', allowed)[0]
+        return next(iter(self.table.prefer('s', allowed)), None)
 
     def _end(
         self,
@@ -414,3 +420,25 @@
         rollout.table.note_end(old, SLOT_REQUEST, report)
     rollout.run(ORDER.seconds / 2, rate=60)
     assert rollout.is_within_bounds()
+
+
+def test_only_usable_version_has_bounds() -> None:
+    """An unproven version got everything while the old one was away."""
+    rollout = SimulatedRollout(None)
+    rollout.run(8)
+    rollout.order()
+    rollout.remove('v1')
+    # Too many bad answers to be good, too few to be found bad.
+    rollout.run(ORDER.seconds / 2, bad_rate=0.08)
+    assert rollout.is_within_bounds()
+
+
+def test_only_usable_good_version_serves() -> None:
+    """A version that is shown to be good serves while the old one is away."""
+    rollout = SimulatedRollout(None)
+    rollout.run(8)
+    rollout.order()
+    rollout.remove('v1')
+    rollout.run(ORDER.seconds)
+    assert rollout.states[-1] is rolloutprogress.State.complete
+    assert rollout.new_starts == ORDER.seconds * 40
