--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -314,27 +314,17 @@
             rollout.count_start(new, -1)
         usual = self._baseline_by_service[request.service]
         timed = _is_timed(engine_state)
-        bad = report.outcome is slot.Outcome.failed
-        bad_now = bad
-        if timed and report.outcome in TIMED_OUTCOMES:
-            bad = usual.is_slow(request.route, report, SLOW_RATIO)
-            bad_now = bad and usual.is_slow_now(
-                request.route, report, SLOW_RATIO
-            )
+        bad, bad_now = _compare(usual, request.route, report, timed)
         if report.outcome not in COUNTED_OUTCOMES and not bad:
             return
-        if rollout is None or rollout.is_over or not new:
+        judged = new and not rollout.is_over
+        if judged:
+            rollout.evidence.note(request.route, bad, bad_now)
+        else:
             usual.note(request.route, report, bad, timed)
-            self._close_window(usual, rollout)
-            return
-        rollout.evidence.note(request.route, bad, bad_now)
         self._close_window(usual, rollout)
-        if self._is_alone(request.service):
-            # There are no answers at the same time to wait for.
-            rollout.evidence.close_window(disturbed=False)
-        route = rollout.evidence.find_bad_route()
-        if route is not None and not rollout.found_bad:
-            self._reject(rollout, 'bad answers', route)
+        if judged:
+            self._judge(rollout)
 
     def decide(
         self, service: str, old_running: int
@@ -395,6 +385,14 @@
         share = self._bounds.exposure_share * (rollout.starts + 1)
         return share + self._bounds.exposure_slack
 
+    def _judge(self, rollout: RolloutProgress) -> None:
+        if self._is_alone(rollout.order.service):
+            # There are no answers at the same time to wait for.
+            rollout.evidence.close_window(disturbed=False)
+        route = rollout.evidence.find_bad_route()
+        if route is not None and not rollout.found_bad:
+            self._reject(rollout, 'bad answers', route)
+
     def _close_window(
         self, usual: baseline.Baseline, rollout: RolloutProgress | None
     ) -> None:
@@ -518,3 +516,16 @@
     # A back end that has just started is slow in any version.
     young = engine_state.measure_age() < WARMUP_SECONDS
     return not (young or engine_state.is_cold())
+
+
+def _compare(
+    usual: baseline.Baseline, route: str, report: slot.Report, timed: bool
+) -> tuple[bool, bool]:
+    # Whether an answer is bad, compared with what is usual and with other
+    # answers at the same time.
+    if report.outcome is slot.Outcome.failed:
+        return True, True
+    if not timed or report.outcome not in TIMED_OUTCOMES:
+        return False, False
+    bad = usual.is_slow(route, report, SLOW_RATIO)
+    return bad, bad and usual.is_slow_now(route, report, SLOW_RATIO)
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -420,8 +420,8 @@
     guard_text.Guard(
         'answers after the end of a rollout blame no version',
         'ops/rolloutprogress.py',
-        '        if rollout is None or rollout.is_over or not new:\n',
-        '        if rollout is None or not new:\n',
+        '        judged = new and not rollout.is_over\n',
+        '        judged = new\n',
         _ROLLOUT,
     ),
     guard_text.Guard(
