Let what a version got outlive the broker

A broker that took over counted a rollout's requests from zero, and a node that used its own broker did so too: each gave the whole first allowance and slack again, so several brokers, one after the other or at once, gave more than a bad version may get.

Each node counts what it sent during a rollout and reports it when it attaches to a broker, which counts the larger of this and what it granted that node itself. A broker uses the fraction of the slack that the nodes that use it make up. The new field of Attach comes last: earlier releases ignore it, and count as ones that sent nothing, as before. Evidence is collected anew by each broker.

--- a/pimentoway/nodes/election.py
+++ b/pimentoway/nodes/election.py
@@ -285,6 +285,7 @@
                 self._slots.list_running(),
                 self._slots.list_usage(),
                 self._slots.list_notices(),
+                self._slots.list_rollouts(),
             ),
         )
         _LOG.write(
--- a/pimentoway/nodes/frame.py
+++ b/pimentoway/nodes/frame.py
@@ -55,6 +55,7 @@
         running: The grants that the node still uses.
         usage: The node's recent use of the quotas.
         notices: What back ends announced of themselves, as the node knows.
+        rollouts: What the node sent during the rollouts in progress.
     """
 
     node: str
@@ -63,6 +64,7 @@
     running: list[slot.ActiveGrant]
     usage: list[slot.QuotaUsage]
     notices: tuple[slot.EngineNotice, ...] = ()
+    rollouts: tuple[slot.RolloutUsage, ...] = ()
 
 
 class Contact(enum.IntEnum):
--- a/pimentoway/nodes/frame_test.py
+++ b/pimentoway/nodes/frame_test.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+import msgspec
 import pytest
 from hypothesis import given, strategies
 
@@ -386,3 +387,14 @@
     assert receiver.version == 13
     assert receiver.deployment.routes[0].timeout == 2
     assert receiver.revision_by_kind[Kind.configuration] >= revision
+
+
+def test_attach_of_another_release_is_read() -> None:
+    """Earlier releases tell and read nothing of rollouts."""
+    usage = slot.RolloutUsage('s', 'o1', 20, 3)
+    attach = frame.Attach('n', 'b', 1, [], [], (), (usage,))
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(attach))
+    earlier = msgspec.msgpack.encode(fields[:-1])
+    assert not msgspec.msgpack.decode(earlier, type=frame.Attach).rollouts
+    later = msgspec.msgpack.encode([*fields, 'unknown'])
+    assert msgspec.msgpack.decode(later, type=frame.Attach) == attach
--- a/pimentoway/ops/broker.py
+++ b/pimentoway/ops/broker.py
@@ -158,6 +158,7 @@
         runs: list[slot.ActiveGrant],
         used: list[slot.QuotaUsage],
         notices: collections.abc.Iterable[slot.EngineNotice] = (),
+        rollouts: collections.abc.Iterable[slot.RolloutUsage] = (),
     ) -> None:
         """Take over the runs of a node that uses this broker from now on.
 
@@ -166,7 +167,10 @@
             runs: Its runs in progress.
             used: Its quota usage in the current window.
             notices: What back ends announced of themselves, as it knows.
+            rollouts: What it sent during the rollouts in progress.
         """
+        for sent in rollouts:
+            self.rollouts.adopt(requester, sent)
         for notice in notices:
             self.notices.note(requester, notice)
             self.engines.note_tolerance(notice)
@@ -297,7 +301,7 @@
         queue.count_grant(queued.request)
         state.start(queued.key, queued.request, via)
         self.engines.relays.count_start(via)
-        self.rollouts.note_start(state.engine)
+        self.rollouts.note_start(state.engine, queued.key[0])
         self._admission.note_start(queued.request)
         self._count_decision(queued.request, 'granted')
         self._log_grant(queued, state, via)
@@ -336,7 +340,7 @@
             state
             for state in free
             if state.is_within_cold_rate(rate, self.engines.share)
-            and self.rollouts.allows(state.engine)
+            and self.rollouts.allows(state.engine, self.engines.share)
         ]
         if not allowed:
             return None
@@ -383,7 +387,7 @@
         elif unfinished:
             stats = queue.stats_by_route[request.route]
             state.note_unfinished(stats.compute_duration_ratio(report))
-        self.rollouts.note_end(state, request, report)
+        self.rollouts.note_end(state, request, report, key[0])
         self.grant_waiting(request.service)
 
     def _note_break(
--- a/pimentoway/ops/rolloutprogress.py
+++ b/pimentoway/ops/rolloutprogress.py
@@ -16,6 +16,7 @@
 from pimentoway.ops import (
     baseline,
     enginestate,
+    exposure,
     notice,
     slot,
     versionevidence,
@@ -90,8 +91,7 @@
         share: The fraction of requests that the new version may get.
         full_share_since: The monotonic time at which it got all requests; 0
             before.
-        starts: The requests that were sent to the service since ``started``.
-        new_starts: Those of them to the new version.
+        ledger: The requests since the order, as far as this broker knows.
         window_starts: The requests since the last window of the baseline.
         window_new_starts: Those of them to the new version.
         found_bad: Whether the new version was found bad.
@@ -102,8 +102,7 @@
     evidence: versionevidence.VersionEvidence
     share: float = 0
     full_share_since: float = 0
-    starts: int = 0
-    new_starts: int = 0
+    ledger: exposure.Ledger = dataclasses.field(default_factory=exposure.Ledger)
     window_starts: int = 0
     window_new_starts: int = 0
     found_bad: bool = False
@@ -140,16 +139,23 @@
             return True
         return bool(self.full_share_since) and not self.is_rejected
 
-    def count_start(self, new: bool, starts: int = 1) -> None:
-        """Count requests.
+    @property
+    def starts(self) -> int:
+        """Count the requests that were sent to the service.
 
-        Args:
-            new: Whether they go to the new version.
-            starts: Their number; negative if they were not sent after all.
+        Returns:
+            The requests since the order.
+        """
+        return self.ledger.count().starts
+
+    @property
+    def new_starts(self) -> int:
+        """Count the requests that were sent to the new version.
+
+        Returns:
+            The requests since the order.
         """
-        self.starts = max(0, self.starts + starts)
-        if new:
-            self.new_starts = max(0, self.new_starts + starts)
+        return self.ledger.count().new_starts
 
     def measure_elapsed(self) -> float:
         """Measure the time since the order.
@@ -230,11 +236,13 @@
                 versions.setdefault(engine.service, set()).add(engine.version)
         self._versions_by_service = versions
 
-    def allows(self, engine: deployment.Engine) -> bool:
+    def allows(self, engine: deployment.Engine, node_share: float = 1) -> bool:
         """Tell whether a back end's version may get the next request.
 
         Args:
             engine: The back end.
+            node_share: The fraction of the nodes that use this broker; it may
+                use the same fraction of the slack.
 
         Returns:
             Whether its version may get it; always so without a rollout.
@@ -251,7 +259,7 @@
             return True
         if rollout.is_rejected:
             return False
-        return self._may_start_new(rollout)
+        return self._may_start_new(rollout, node_share)
 
     def prefer(
         self, service: str, allowed: list[enginestate.EngineState]
@@ -275,16 +283,61 @@
         ]
         return newer or allowed
 
-    def note_start(self, engine: deployment.Engine) -> None:
+    def adopt(self, requester: str, usage: slot.RolloutUsage) -> None:
+        """Count what a node sent before it used this broker.
+
+        Args:
+            requester: The node.
+            usage: What it sent; ignored if it belongs to another order.
+        """
+        rollout = self._progress_by_service.get(usage.service)
+        if rollout and rollout.order.identity == usage.order:
+            sent = exposure.Sent(usage.starts, usage.new_starts)
+            rollout.ledger.adopt(requester, sent)
+
+    def count_sent(self, name: str, starts: int = 1) -> None:
+        """Count a request that this node sends, whichever broker granted it.
+
+        Args:
+            name: The name of the back end that gets it.
+            starts: One; -1 if it was not sent after all.
+        """
+        engine = self._view.engines_by_name.get(name)
+        rollout = engine and self._progress_by_service.get(engine.service)
+        if rollout:
+            new = engine.version == rollout.order.version
+            rollout.ledger.own.add(new, starts)
+
+    def list_sent(self) -> tuple[slot.RolloutUsage, ...]:
+        """List what this node sent during the rollouts in progress.
+
+        Returns:
+            The requests of each rollout without a result.
+        """
+        return tuple(
+            slot.RolloutUsage(
+                service,
+                rollout.order.identity,
+                rollout.ledger.own.starts,
+                rollout.ledger.own.new_starts,
+            )
+            for service, rollout in self._progress_by_service.items()
+            if not rollout.is_over
+        )
+
+    def note_start(
+        self, engine: deployment.Engine, requester: str = ''
+    ) -> None:
         """Count a request.
 
         Args:
             engine: The back end that gets it.
+            requester: The node that sends it.
         """
         rollout = self._progress_by_service.get(engine.service)
         if rollout:
             new = engine.version == rollout.order.version
-            rollout.count_start(new)
+            rollout.ledger.add(requester, new)
             rollout.window_starts += 1
             rollout.window_new_starts += new
 
@@ -293,6 +346,7 @@
         engine_state: enginestate.EngineState,
         request: slot.SlotRequest,
         report: slot.Report,
+        requester: str = '',
     ) -> None:
         """Count an answer as good or bad.
 
@@ -305,13 +359,14 @@
             engine_state: The back end that ran the request.
             request: The slot request.
             report: The outcome of the run.
+            requester: The node that sent it.
         """
         rollout = self._progress_by_service.get(request.service)
         new = bool(
             rollout and engine_state.engine.version == rollout.order.version
         )
         if report.outcome in slot.UNSENT_OUTCOMES and rollout:
-            rollout.count_start(new, -1)
+            rollout.ledger.add(requester, new, -1)
         usual = self._baseline_by_service[request.service]
         timed = _is_timed(engine_state)
         bad, bad_now = _compare(usual, request.route, report, timed)
@@ -362,21 +417,27 @@
     def _is_alone(self, service: str) -> bool:
         return len(self._versions_by_service.get(service, ())) < 2
 
-    def _may_start_new(self, rollout: RolloutProgress) -> bool:
-        budget = BUDGET_FRACTION * self._measure_allowed(rollout)
+    def _may_start_new(
+        self, rollout: RolloutProgress, node_share: float
+    ) -> bool:
+        sent = rollout.ledger.count()
+        slack = self._bounds.exposure_slack * node_share
+        budget = BUDGET_FRACTION * (
+            self._bounds.exposure_share * (sent.starts + 1) + slack
+        )
         if self._is_alone(rollout.order.service):
             # Nothing is gained by keeping to the first share, as the requests
             # would be refused.
             good = rollout.evidence.favours_good(versionevidence.GOOD_ODDS)
-            return good or rollout.new_starts + 1 <= budget
+            return good or sent.new_starts + 1 <= budget
         if rollout.evidence.is_held():
             return False
-        slack = self._bounds.exposure_slack * FIRST_SLACK_FRACTION
-        allowed = rollout.share * (rollout.starts + 1) + slack
+        allowed = rollout.share * (sent.starts + 1)
+        allowed += FIRST_SLACK_FRACTION * slack
         # The version in use keeps enough requests to be compared with.
         paced = RAMP_SHARE * (rollout.window_starts + 1) + WINDOW_SLACK
         return (
-            rollout.new_starts + 1 <= min(allowed, budget)
+            sent.new_starts + 1 <= min(allowed, budget)
             and rollout.window_new_starts + 1 <= paced
         )
 
--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -19,11 +19,13 @@
     """A rollout of version v2 after v1 under a steady load.
 
     Attributes:
-        table: The rollouts.
+        table: The rollouts at the broker.
+        node: The rollouts at the node that sends the requests.
         view: The registry view that the rollouts are read from.
         states: The decided states, in order.
         new_starts: The requests that the new version got.
         starts: All requests.
+        node_share: The fraction of the nodes that use the broker.
         reports_fail: Whether decided states never reach the registry.
         old_bad_rate: The fraction of the old version's answers that are bad.
         old_slowdown: The duration of the old version's answers, relative to
@@ -39,13 +41,13 @@
             order: The order; None if ``order`` is called later.
             seed: The seed of the failures.
         """
+        self.node_share: float = 1
         self.reports_fail = False
         self.old_bad_rate: float = 0
         self.old_slowdown: float = 1
         self.view = view.View()
-        self.table = rolloutprogress.RolloutTable(
-            nodesetting.Bounds(), self.view, notice.NoticeTable(self.view)
-        )
+        self.table = self._make_table()
+        self.node = self._make_table()
         self.states: list[rolloutprogress.State] = []
         self.new_starts = 0
         self.starts = 0
@@ -111,7 +113,8 @@
                 self._decide()
                 continue
             self.starts += 1
-            self.table.note_start(engine_state.engine)
+            self.table.note_start(engine_state.engine, 'n/1')
+            self.node.count_sent(engine_state.engine.name)
             new = engine_state.engine.version == 'v2'
             self.new_starts += new
             if new:
@@ -122,6 +125,13 @@
             self._end(engine_state, route, bad, duration)
             self._decide()
 
+    def change_broker(self) -> None:
+        """Continue with the broker of another node, without answers."""
+        self.table = self._make_table()
+        self.table.update()
+        for usage in self.node.list_sent():
+            self.table.adopt('n/1', usage)
+
     def remove(self, version: str) -> None:
         """Remove the back end of a version.
 
@@ -131,6 +141,11 @@
         self._states.pop(version)
         self._change(registry.Kind.engines, version, None)
 
+    def _make_table(self) -> rolloutprogress.RolloutTable:
+        return rolloutprogress.RolloutTable(
+            nodesetting.Bounds(), self.view, notice.NoticeTable(self.view)
+        )
+
     def _fails(self, rate: float) -> bool:
         return rate > 0 and self._random.random() < rate
 
@@ -138,7 +153,7 @@
         allowed = [
             engine_state
             for engine_state in self._states.values()
-            if self.table.allows(engine_state.engine)
+            if self.table.allows(engine_state.engine, self.node_share)
         ]
         return next(iter(self.table.prefer('s', allowed)), None)
 
@@ -188,6 +203,7 @@
             'test',
         )
         self.table.update()
+        self.node.update()
 
 
 def test_good_version_completes_in_time() -> None:
@@ -442,3 +458,22 @@
     rollout.run(ORDER.seconds)
     assert rollout.states[-1] is rolloutprogress.State.complete
     assert rollout.new_starts == ORDER.seconds * 40
+
+
+def test_changes_of_the_broker_renew_no_slack() -> None:
+    """Each broker that took over gave the whole first allowance again."""
+    rollout = SimulatedRollout(None)
+    rollout.run(4)
+    rollout.order(dataclasses.replace(ORDER, seconds=60))
+    for _ in range(6):
+        rollout.run(1)
+        rollout.change_broker()
+    assert rollout.is_within_bounds()
+
+
+def test_nodes_apart_have_a_part_of_the_slack() -> None:
+    """A node that used its own broker gave the first allowance again."""
+    rollout = SimulatedRollout()
+    rollout.node_share = 0.1
+    rollout.run(2)
+    assert rollout.new_starts <= 0.1 * rollout.starts + 5
--- a/pimentoway/ops/slot.py
+++ b/pimentoway/ops/slot.py
@@ -282,6 +282,22 @@
     cost: float
 
 
+class RolloutUsage(msgspec.Struct, frozen=True, array_like=True):
+    """What a node sent to a service during a rollout, of any broker's grants.
+
+    Attributes:
+        service: The name of the service.
+        order: The identity of the operator's order.
+        starts: The requests to the service.
+        new_starts: Those of them to the new version.
+    """
+
+    service: str
+    order: str
+    starts: int
+    new_starts: int
+
+
 def refuse_unexpected(request: SlotRequest) -> Refusal:
     """Refuse a slot request whose handling raised an unexpected error.
 
--- a/pimentoway/ops/slotclient.py
+++ b/pimentoway/ops/slotclient.py
@@ -132,6 +132,7 @@
                 self.list_running(),
                 self.list_usage(),
                 self.list_notices(),
+                self.list_rollouts(),
             )
         waiting = list(self._pending_by_number.values())
         _LOG.write(
@@ -190,6 +191,7 @@
             self._note_tolerance(run.engine, report.tolerated_rejections)
         if run and report.outcome in slot.UNSENT_OUTCOMES:
             self._add_usage(run.request, -run.request.cost)
+            self._local.rollouts.count_sent(run.engine, -1)
         if self._remote:
             self._remote(report)
         else:
@@ -298,6 +300,14 @@
             if usage.measure()
         ]
 
+    def list_rollouts(self) -> tuple[slot.RolloutUsage, ...]:
+        """List what this node sent during the rollouts in progress.
+
+        Returns:
+            The requests of each rollout.
+        """
+        return self._local.rollouts.list_sent()
+
     def count_pending(self) -> int:
         """Count the slot requests without a reply.
 
@@ -359,6 +369,7 @@
             request, grant.engine, grant.via
         )
         self._add_usage(request, request.cost)
+        self._local.rollouts.count_sent(grant.engine)
 
     def _note_tolerance(self, engine: str, tolerated: int) -> None:
         if tolerated == slot.NO_LIMIT:
--- a/pimentoway/tools/edge.py
+++ b/pimentoway/tools/edge.py
@@ -361,6 +361,7 @@
                 content.running,
                 content.usage,
                 content.notices,
+                content.rollouts,
             )
             self._update_share()
 
--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -438,6 +438,27 @@
         'allowed',
         _ROLLOUT,
     ),
+    guard_text.Guard(
+        'a broker that takes over knows what a version got',
+        'ops/rolloutprogress.py',
+        '            rollout.ledger.adopt(requester, sent)\n',
+        '            pass\n',
+        _ROLLOUT,
+    ),
+    guard_text.Guard(
+        'nodes apart share the slack',
+        'ops/rolloutprogress.py',
+        '        slack = self._bounds.exposure_slack * node_share\n',
+        '        slack = self._bounds.exposure_slack\n',
+        _ROLLOUT,
+    ),
+    guard_text.Guard(
+        'the only usable version has bounds',
+        'ops/rolloutprogress.py',
+        'return good or sent.new_starts + 1 <= budget',
+        'return True',
+        _ROLLOUT,
+    ),
     guard_text.Guard(
         'disturbed windows are not usual',
         'ops/baseline.py',
