--- a/pimentoway/tools/edge_guard.py
+++ b/pimentoway/tools/edge_guard.py
@@ -420,14 +420,15 @@
     guard_text.Guard(
         'answers after the end of a rollout blame no version',
         'ops/rolloutprogress.py',
-        '        judged = new and not rollout.is_over\n',
-        '        judged = new\n',
+        '        if self.order.state == State.complete.value:\n'
+        '            return True\n',
+        '',
         _ROLLOUT,
     ),
     guard_text.Guard(
         'a new version gets a small share',
         'ops/rolloutprogress.py',
-        '        return not new or self._may_start_new(rollout)',
+        '        return self._may_start_new(rollout, node_share)',
         '        return True',
         _ROLLOUT,
     ),
@@ -479,7 +480,7 @@
         '        return min(MAX_CURRENT_RATE, usual + '
         'max(0, excess, own - usual))\n',
         '        return usual\n',
-        _ROLLOUT,
+        'pimentoway/ops/versionevidence_test.py',
     ),
     guard_text.Guard(
         'slow answers count against a version',
