--- a/pimentoway/ops/rolloutprogress_test.py
+++ b/pimentoway/ops/rolloutprogress_test.py
@@ -332,7 +332,7 @@
         assert rollout.is_within_bounds() or progress.full_share_since
 
 
-def test_few_failures_are_not_outweighed_by_numbers() -> None:
+def test_good_answers_do_not_outweigh_bad_ones() -> None:
     """A version was completed by its good answers, however many were bad."""
     for seed in range(20):
         fault = {'bad_rate': 0.25}
--- a/pimentoway/ops/versionevidence_test.py
+++ b/pimentoway/ops/versionevidence_test.py
@@ -35,7 +35,7 @@
     assert evidence.is_held()
 
 
-def test_failures_beside_a_sound_version_are_evidence() -> None:
+def test_failures_beside_a_sound_version_count() -> None:
     """The same answers of the new version, while the old one is sound."""
     usual = make_baseline()
     evidence = versionevidence.VersionEvidence(usual)
