Tell whether a service is disturbed without its routes

Each choice of a back end during a rollout joined the answers of all routes of the last windows, for each back end of the new version. The numbers of the service suffice.

--- a/pimentoway/ops/baseline.py
+++ b/pimentoway/ops/baseline.py
@@ -237,7 +237,9 @@
         """
         if self._open.is_disturbed(self._calm_rate):
             return True
-        recent = self._join_recent()
+        recent = _Window(self._open.started)
+        for window in self._list_recent():
+            recent.count.add(window.count)
         return recent.is_disturbed(self._calm_rate)
 
     def measure_usual(self, route: str) -> float:
@@ -267,7 +269,12 @@
         """
         usual = self.measure_usual(route)
         service = self._find_usual().count.measure_rate(0, 0)
-        current = self._join_recent()
+        current = _Window(self._open.started)
+        for window in self._list_recent():
+            current.count.add(window.count)
+            entry = window.by_route.get(route)
+            if entry:
+                current.by_route[route].merge(entry)
         excess = current.count.measure_rate(service, PRIOR_ANSWERS) - service
         own = current.by_route[route].count.measure_rate(usual, PRIOR_ANSWERS)
         return min(MAX_CURRENT_RATE, usual + max(0, excess, own - usual))
@@ -309,16 +316,12 @@
         current = self._speed_by_route[route].estimate_seconds(report)
         return report.total_seconds > ratio * current
 
-    def _join_recent(self) -> _Window:
+    def _list_recent(self) -> list[_Window]:
         # The open window, and the one before it if it ended a moment ago.
-        joined = _Window(self._open.started)
-        windows = [self._open]
         ended = self._open.started
         if self._latest and clock.read_monotonic() - ended <= CURRENT_SECONDS:
-            windows.append(self._latest)
-        for window in windows:
-            joined.merge(window)
-        return joined
+            return [self._open, self._latest]
+        return [self._open]
 
     def _find_usual(self) -> _Window:
         if self._usual is None:
